Carry a request from a caller through an entry instance to a backend server

Cause: the repository was empty; the whole path has to stand before any part of it can be measured.

Change: the decision core (policy) is a state machine without I/O; router, caller, backend, peer, platform, ledger and entry carry its events; publish and cli are the operators' side; fakes and demo are the stand-ins and a local deployment.

Ruled out: writing a claim row before a server is chosen. A row that is written as 'sent' with the connection in hand needs one write less, and the only extra case of the two-step row, a crash between claim and send, is microseconds wide here; see docs/DESIGN.md.

--- /dev/null
+++ b/crates/cli/src/commands/check.rs
@@ -0,0 +1,26 @@
+//! `lacewingchute check`.
+
+use config::check_whole;
+
+use crate::args::CheckArgs;
+use crate::failure::Failure;
+
+/// Checks route files, or prints the reference.
+pub fn run(args: &CheckArgs) -> Result<(), Failure> {
+    if args.reference {
+        print!("{}", config::reference_markdown());
+        return Ok(());
+    }
+    if args.paths.is_empty() {
+        return Err(Failure::Faults(vec!["name the folders that hold the route files".to_owned()]));
+    }
+    let lines = |faults: Vec<config::Fault>| faults.iter().map(|f| f.to_string()).collect();
+    let collected =
+        publish::collect(&args.paths).map_err(|faults| Failure::Faults(lines(faults)))?;
+    let faults = check_whole(&collected.pieces);
+    if !faults.is_empty() {
+        return Err(Failure::Faults(lines(faults)));
+    }
+    println!("{} files, {} pieces: no fault", collected.files.len(), collected.pieces.len());
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/commands/statement.rs
@@ -0,0 +1,53 @@
+//! `lacewingchute statement`.
+
+use ledger::{Batch, Bill, ClaimRow, ClaimState, Statement, statement};
+use platform::{HttpPlatform, Row, Table};
+
+use crate::args::StatementArgs;
+use crate::failure::Failure;
+use crate::settings::Reader;
+
+/// Prints what client accounts owe.
+pub async fn run(args: StatementArgs) -> Result<(), Failure> {
+    let mut reader = Reader::new();
+    let addr = reader.required_addr("platform", args.platform);
+    reader.finish()?;
+    let platform = HttpPlatform::new(addr);
+    let batches = platform.scan_all("bill/").await?;
+    let claims = platform.scan_all("claim/").await?;
+    let statement = make(&batches, &claims)?;
+    if args.json {
+        println!("{}", serde_json::to_string(&statement)?);
+        return Ok(());
+    }
+    println!("{:<24} {:>10} {:>12} {:>14}", "account", "requests", "tokens", "amount");
+    for (account, line) in &statement.accounts {
+        let amount = line.amount_micro as f64 / 1e6;
+        println!("{account:<24} {:>10} {:>12} {amount:>14.6}", line.requests, line.tokens);
+    }
+    if !statement.unresolved.is_empty() {
+        println!("{} calls have no recorded outcome:", statement.unresolved.len());
+        for key in &statement.unresolved {
+            println!("  {key}");
+        }
+    }
+    Ok(())
+}
+
+fn make(batches: &[Row], claims: &[Row]) -> Result<Statement, serde_json::Error> {
+    let mut bills: Vec<Bill> = Vec::new();
+    let mut unresolved = Vec::new();
+    for row in batches {
+        let batch: Batch = serde_json::from_value(row.value.clone())?;
+        bills.extend(batch.bills);
+    }
+    for row in claims {
+        let claim: ClaimRow = serde_json::from_value(row.value.clone())?;
+        match claim.state {
+            ClaimState::Done(_, bill) if bill.amount_micro > 0 => bills.push(bill),
+            ClaimState::Done(..) => {}
+            ClaimState::Sent => unresolved.push(row.key.clone()),
+        }
+    }
+    Ok(Statement { unresolved, ..statement(bills) })
+}
--- /dev/null
+++ b/crates/entry/src/gossip.rs
@@ -0,0 +1,154 @@
+//! The service that exchanges digests with peers, and what answers theirs.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+
+use anyhow::{Context, Result};
+use config::Name;
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use kernel::Service;
+use ledger::Bill;
+use peer::{Handle, State};
+use policy::{Digest, Event, RequestId};
+use rand::seq::IndexedRandom;
+use router::Shared;
+use serde_json::json;
+use tokio_util::sync::CancellationToken;
+
+use crate::configuration::Configuration;
+use crate::pacing::jitter;
+
+/// The time between exchanges, in seconds.
+const EXCHANGE_EVERY_S: f64 = 1.0;
+
+/// Exchanges digests with a peer inside the domain and one anywhere.
+pub struct Gossip {
+    shared: Shared,
+    configuration: Arc<Configuration>,
+    peers: Mutex<Option<Handle>>,
+    stop_peers: CancellationToken,
+}
+
+impl Gossip {
+    /// The name of the service.
+    pub const NAME: &'static str = "gossip";
+
+    /// Makes the service.
+    pub fn new(shared: Shared, configuration: Arc<Configuration>) -> Self {
+        let stop_peers = CancellationToken::new();
+        Gossip { shared, configuration, peers: Mutex::default(), stop_peers }
+    }
+
+    /// Binds the peers' listener and connects the parts that talk to peers.
+    ///
+    /// Returns the address that it listens on.
+    pub fn listen(self: &Arc<Self>, addr: SocketAddr) -> Result<SocketAddr> {
+        let listener = TcpListener::bind(addr).with_context(|| format!("--peers {addr}"))?;
+        listener.set_nonblocking(true)?;
+        let bound = listener.local_addr()?;
+        let shared = &self.shared;
+        let handle = Handle::start(
+            shared.instance.clone(),
+            shared.incarnation,
+            listener,
+            Arc::new(Answerer { gossip: self.clone() }),
+            self.stop_peers.clone(),
+        )?;
+        shared.bills.connect(handle.clone());
+        self.configuration.connect(handle.clone());
+        *self.peers.lock().unwrap() = Some(handle);
+        Ok(bound)
+    }
+
+    /// Tells all peers at once that the instance is leaving.
+    pub async fn tell_all(&self) {
+        let contacts = self.shared.directory.contacts(&self.shared.instance);
+        let telling = contacts.into_iter().map(|addr| self.exchange(addr));
+        futures::future::join_all(telling).await;
+    }
+
+    async fn keep(&self, stop: CancellationToken) -> Result<()> {
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep(jitter(EXCHANGE_EVERY_S)) => {}
+                () = stop.cancelled() => break,
+            }
+            let chosen = self.choose();
+            futures::future::join_all(chosen.into_iter().map(|addr| self.exchange(addr))).await;
+        }
+        self.stop_peers.cancel();
+        Ok(())
+    }
+
+    /// One peer inside the domain and one outside it.
+    fn choose(&self) -> Vec<SocketAddr> {
+        let peers = self.shared.directory.peers(&self.shared.instance);
+        let (inside, outside): (Vec<_>, Vec<_>) =
+            peers.iter().partition(|peer| peer.domain == self.shared.domain);
+        let mut rng = rand::rng();
+        let chosen = [inside.choose(&mut rng), outside.choose(&mut rng)];
+        let chosen: Vec<SocketAddr> = chosen.into_iter().flatten().map(|peer| peer.addr).collect();
+        match chosen.is_empty() {
+            true => self.shared.directory.contacts(&self.shared.instance),
+            false => chosen,
+        }
+    }
+
+    async fn exchange(&self, addr: SocketAddr) {
+        let Some(peers) = self.peers.lock().unwrap().clone() else { return };
+        match peers.exchange(addr, self.configuration.digest()).await {
+            Ok(digest) => self.merge(digest),
+            Err(_) => {
+                self.shared.metrics.peer_errors.inc();
+            }
+        }
+    }
+
+    fn merge(&self, digest: Digest) {
+        self.configuration.heard(digest.config_number);
+        self.shared.router.step(Event::Merged(digest));
+    }
+}
+
+impl Service for Gossip {
+    fn name(&self) -> &'static str {
+        Gossip::NAME
+    }
+
+    fn run(self: Arc<Self>, stop: CancellationToken) -> BoxFuture<'static, Result<()>> {
+        async move { self.keep(stop).await }.boxed()
+    }
+
+    fn dump(&self) -> serde_json::Value {
+        let alive = self.shared.router.with_core(|core, now| core.peers_alive(now));
+        json!({ "alive": alive })
+    }
+}
+
+/// Answers the peers' calls.
+struct Answerer {
+    gossip: Arc<Gossip>,
+}
+
+impl peer::Answer for Answerer {
+    fn exchange(&self, digest: Digest) -> Digest {
+        self.gossip.merge(digest);
+        self.gossip.configuration.digest()
+    }
+
+    fn hold(&self, instance: Name, incarnation: u64, bills: Vec<Bill>) -> bool {
+        self.gossip.shared.bills.hold_for(instance, incarnation, bills)
+    }
+
+    fn release(&self, instance: Name, incarnation: u64, ids: Vec<RequestId>) {
+        self.gossip.shared.bills.release_for(&instance, incarnation, &ids);
+    }
+
+    fn state(&self) -> State {
+        let (number, pieces) = self.gossip.configuration.pieces();
+        let servers = self.gossip.shared.directory.servers();
+        let servers = servers.iter().filter_map(|server| serde_json::to_string(server).ok());
+        State { number, pieces, servers: servers.collect() }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,15 @@
+//! One entry instance: its services, its listeners, its start and its end.
+
+mod bills;
+mod configuration;
+mod directory;
+mod gossip;
+mod halts;
+mod instance;
+mod operators;
+mod pacing;
+mod settings;
+mod ticker;
+
+pub use instance::Entry;
+pub use settings::{Settings, SettingsBuilder};
--- /dev/null
+++ b/crates/peer/schema/peer.capnp
@@ -0,0 +1,84 @@
+@0xd1c4a6e2f8b3907b;
+# What entry instances say to each other. All of it may come twice or late.
+
+interface Peer {
+  exchange @0 (digest :Digest) -> (digest :Digest);
+  # Gives the sender's digest and returns the receiver's.
+
+  hold @1 (instance :Text, incarnation :UInt64, bills :List(Bill)) -> (held :Bool);
+  # Keeps copies of bills that are not yet in the table.
+
+  release @2 (instance :Text, incarnation :UInt64, ids :List(Id)) -> ();
+  # Drops copies of bills that are in the table.
+
+  state @3 () -> (number :UInt64, pieces :List(Text), servers :List(Text));
+  # The configuration and the servers, for an instance that starts cut off.
+}
+
+struct Id {
+  high @0 :UInt64;
+  low @1 :UInt64;
+}
+
+struct Bill {
+  id @0 :Id;
+  account @1 :Text;
+  route @2 :Text;
+  version @3 :Text;
+  promptTokens @4 :UInt32;
+  outputTokens @5 :UInt32;
+  amountMicro @6 :UInt64;
+  atMs @7 :UInt64;
+}
+
+struct Digest {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  domain @2 :Text;
+  sequence @3 :UInt64;
+  leaving @4 :Bool;
+  configNumber @5 :UInt64;
+  confirmed @6 :Bool;
+  confirmedAgeMs @7 :UInt64;
+  members @8 :List(Member);
+  leavingServers @9 :List(Text);
+  halts @10 :List(Halt);
+  poison @11 :List(Poison);
+  loads @12 :List(Load);
+  evidence @13 :List(Evidence);
+}
+
+struct Member {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  leaving @3 :Bool;
+}
+
+struct Halt {
+  route @0 :Text;
+  version @1 :Text;
+  generation @2 :UInt64;
+}
+
+struct Poison {
+  fingerprint @0 :UInt64;
+  deaths @1 :UInt32;
+}
+
+struct Load {
+  server @0 :Text;
+  inFlight @1 :UInt32;
+  suspect @2 :Bool;
+}
+
+struct Evidence {
+  route @0 :Text;
+  version @1 :Text;
+  epoch @2 :UInt64;
+  ok @3 :UInt32;
+  errors @4 :UInt32;
+  fast @5 :UInt32;
+  slow @6 :UInt32;
+  ratings @7 :List(UInt32);
+}
--- /dev/null
+++ b/crates/router/src/shared.rs
@@ -0,0 +1,106 @@
+//! The shared parts of one instance, made together.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use config::Name;
+use ledger::BookSize;
+use platform::HttpPlatform;
+use policy::{HaltKey, Settings, Switches, Verdict};
+use tokio::sync::mpsc;
+
+use crate::bills::Bills;
+use crate::clock::Clock;
+use crate::directory::Directory;
+use crate::metrics::Metrics;
+use crate::orders::Router;
+
+/// What every part of an entry instance uses.
+#[derive(Debug, Clone)]
+pub struct Shared {
+    /// The instance's id.
+    pub instance: Name,
+    /// The instance's incarnation.
+    pub incarnation: u64,
+    /// The instance's failure domain.
+    pub domain: Name,
+    /// The decision core.
+    pub router: Arc<Router>,
+    /// The bills.
+    pub bills: Arc<Bills>,
+    /// The directory.
+    pub directory: Arc<Directory>,
+    /// The platform.
+    pub platform: HttpPlatform,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+/// Builds the shared parts.
+#[derive(Debug)]
+pub struct SharedBuilder {
+    instance: Name,
+    domain: Name,
+    platform: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    size: BookSize,
+    switches: Switches,
+}
+
+impl SharedBuilder {
+    /// Starts with the instance's identity and the platform's address.
+    pub fn new(instance: Name, domain: Name, platform: SocketAddr) -> Self {
+        SharedBuilder {
+            instance,
+            domain,
+            platform,
+            seeds: Vec::new(),
+            size: BookSize { own: 20_000, copies: 40_000 },
+            switches: Switches::default(),
+        }
+    }
+
+    /// Sets the peers to ask before the platform's list is known.
+    pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
+    /// Sets how many bills the instance may hold.
+    pub fn size(mut self, size: BookSize) -> Self {
+        self.size = size;
+        self
+    }
+
+    /// Sets which mechanisms of the core are on.
+    pub fn switches(mut self, switches: Switches) -> Self {
+        self.switches = switches;
+        self
+    }
+
+    /// Builds; halts that the core asks for go to `halts`.
+    pub fn build(self, halts: mpsc::UnboundedSender<(HaltKey, Verdict)>) -> Shared {
+        let clock = Clock::start();
+        // The wall clock orders the incarnations of one instance.
+        let incarnation = clock.now().wall_ms;
+        let settings = Settings::new(self.instance.clone(), self.domain.clone(), rand::random())
+            .incarnation(incarnation)
+            .switches(self.switches);
+        let metrics = Arc::new(Metrics::new());
+        let directory = Arc::new(Directory::new(self.seeds));
+        let platform = HttpPlatform::new(self.platform);
+        let identity = (self.instance.clone(), incarnation, self.domain.clone());
+        let bills =
+            Bills::new(identity, self.size, directory.clone(), platform.clone(), metrics.clone());
+        Shared {
+            instance: self.instance,
+            incarnation,
+            domain: self.domain,
+            router: Arc::new(Router::new(settings, clock, halts)),
+            bills: Arc::new(bills),
+            directory,
+            platform,
+            metrics,
+        }
+    }
+}
