Give each instance its own view of the fake platform, and relays before the servers

Cause: scenarios need faults that concern one instance alone and connections that can be cut from outside. Nothing was measured.

--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -11,6 +11,7 @@
 use crate::engine::{Engine, EngineSettings};
 use crate::journal::Journal;
 use crate::platform_fake::PlatformFake;
+use crate::relay::Relay;
 use crate::service::BookingService;
 
 /// The failure domains of the deployment.
@@ -40,6 +41,8 @@
     pub engines: Vec<(String, Engine)>,
     /// The booking services by name: `booking.DOMAIN`.
     pub services: Vec<(String, BookingService)>,
+    /// The relays in front of engines and services, by their names.
+    pub relays: Vec<(String, Relay)>,
     /// What reached engines and services.
     pub journal: Journal,
 }
@@ -49,8 +52,13 @@
     pub async fn start(token: Duration, stop: CancellationToken) -> Result<Self> {
         let platform = PlatformFake::start(stop.clone()).await?;
         let journal = Journal::default();
-        let mut deployment =
-            Deployment { platform, engines: Vec::new(), services: Vec::new(), journal };
+        let mut deployment = Deployment {
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+            relays: Vec::new(),
+            journal,
+        };
         for domain in DOMAINS {
             for version in VERSIONS {
                 deployment.add_engine(version, domain, token, stop.clone()).await?;
@@ -70,8 +78,10 @@
         let id = format!("{}.{domain}", version.name);
         let settings = EngineSettings { token, ..EngineSettings::quick(&id, version.quality) };
         let slots = settings.slots;
-        let engine = Engine::start(settings, self.journal.clone(), stop).await?;
-        let mut entry = listed(&id, engine.addr(), domain, Role::Engine);
+        let engine = Engine::start(settings, self.journal.clone(), stop.clone()).await?;
+        let relay = Relay::start(engine.addr(), stop).await?;
+        let mut entry = listed(&id, relay.addr(), domain, Role::Engine);
+        self.relays.push((id.clone(), relay));
         entry.serves = vec![version.name.into()];
         entry.slots = slots;
         self.platform.change_list(|list| list.push(entry));
@@ -81,8 +91,10 @@
 
     async fn add_service(&mut self, domain: &str, stop: CancellationToken) -> Result<()> {
         let id = format!("booking.{domain}");
-        let service = BookingService::start(&id, self.journal.clone(), stop).await?;
-        let mut entry = listed(&id, service.addr(), domain, Role::Service);
+        let service = BookingService::start(&id, self.journal.clone(), stop.clone()).await?;
+        let relay = Relay::start(service.addr(), stop).await?;
+        let mut entry = listed(&id, relay.addr(), domain, Role::Service);
+        self.relays.push((id.clone(), relay));
         entry.serves = vec!["booking".into()];
         entry.slots = 32;
         self.platform.change_list(|list| list.push(entry));
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -22,6 +22,8 @@
 
 /// A prompt that contains this crashes the engine.
 const CRASH_WORD: &str = "crash-the-engine";
+/// Characters of the prompt that an answer repeats.
+const ECHO: usize = 48;
 /// How long a crashed engine stays down.
 const DOWN: Duration = Duration::from_millis(400);
 
@@ -159,6 +161,7 @@
     tokens: u32,
     stream: bool,
     quality: f64,
+    echo: String,
     place: usize,
     faults: EngineFaults,
 }
@@ -219,6 +222,8 @@
             .map(|message| message["content"].as_str().unwrap_or("").len())
             .sum();
         let version = request["model"].as_str()?.to_owned();
+        let last = request["messages"].as_array()?.last()?;
+        let echo = last["content"].as_str().unwrap_or("").chars().take(ECHO).collect();
         let place = self.journal.begin(JournalEntry {
             server: self.settings.id.clone(),
             id: id.clone(),
@@ -234,6 +239,7 @@
             prompt_tokens: prompt.div_ceil(4) as u32,
             tokens: request["max_tokens"].as_u64().unwrap_or(20) as u32,
             stream: request["stream"].as_bool().unwrap_or(false),
+            echo,
             quality: faults.quality.unwrap_or(self.settings.quality),
             place,
             faults,
@@ -331,7 +337,7 @@
 
 impl Job {
     fn text(&self) -> String {
-        format!("answer {} quality={:.3} ", self.id, self.quality)
+        format!("answer {} quality={:.3} to {} ", self.id, self.quality, self.echo)
     }
 
     fn usage(&self) -> Value {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -12,6 +12,6 @@
 pub use deployment::{DOMAINS, Deployment, FakeVersion, VERSIONS};
 pub use engine::{Engine, EngineFaults, EngineSettings};
 pub use journal::{Journal, JournalEntry};
-pub use platform_fake::{PlatformFake, PlatformFaults};
+pub use platform_fake::{PlatformFake, PlatformFaults, PlatformView};
 pub use relay::{Relay, RelayMode};
 pub use service::{BookingService, ServiceFaults};
--- a/crates/fakes/src/platform_fake.rs
+++ b/crates/fakes/src/platform_fake.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the platform: table, objects, list, ratings.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -44,6 +44,21 @@
 pub struct PlatformFake {
     addr: SocketAddr,
     state: Arc<State>,
+    stop: CancellationToken,
+}
+
+/// The platform as one entry instance reaches it: with addresses of its own
+/// for its peers, and faults that concern it alone.
+#[derive(Clone)]
+pub struct PlatformView {
+    addr: SocketAddr,
+    view: Arc<View>,
+}
+
+struct View {
+    state: Arc<State>,
+    faults: Mutex<PlatformFaults>,
+    addrs: Mutex<HashMap<String, SocketAddr>>,
 }
 
 #[derive(Default)]
@@ -67,8 +82,16 @@
     /// Starts the stand-in on a free loopback port.
     pub async fn start(stop: CancellationToken) -> Result<Self> {
         let state = Arc::new(State::default());
-        let addr = serve(state.clone(), Connections::default(), stop).await?;
-        Ok(PlatformFake { addr, state })
+        let view = Arc::new(View::new(state.clone()));
+        let addr = serve(view, Connections::default(), stop.clone()).await?;
+        Ok(PlatformFake { addr, state, stop })
+    }
+
+    /// Starts another listener on the same state.
+    pub async fn view(&self) -> Result<PlatformView> {
+        let view = Arc::new(View::new(self.state.clone()));
+        let addr = serve(view.clone(), Connections::default(), self.stop.clone()).await?;
+        Ok(PlatformView { addr, view })
     }
 
     /// Where it listens.
@@ -104,6 +127,29 @@
     }
 }
 
+impl PlatformView {
+    /// Where it listens.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Changes how the platform misbehaves towards this instance.
+    pub fn set_faults(&self, change: impl FnOnce(&mut PlatformFaults)) {
+        change(&mut self.view.faults.lock().unwrap());
+    }
+
+    /// Sets the address under which this instance sees another one.
+    pub fn set_addr(&self, id: &str, addr: SocketAddr) {
+        self.view.addrs.lock().unwrap().insert(id.to_owned(), addr);
+    }
+}
+
+impl View {
+    fn new(state: Arc<State>) -> Self {
+        View { state, faults: Mutex::default(), addrs: Mutex::default() }
+    }
+}
+
 #[derive(Deserialize)]
 struct ReadBody {
     keys: Vec<String>,
@@ -115,53 +161,70 @@
     after: String,
 }
 
-impl Handler for State {
+impl Handler for View {
     async fn handle(&self, request: Request<Incoming>) -> Option<Response<AnswerBody>> {
-        let faults = self.faults.lock().unwrap().clone();
-        tokio::time::sleep(faults.delay).await;
-        if faults.silent {
-            std::future::pending::<()>().await;
-        }
-        if faults.out {
-            return Some(json(503, &"out"));
+        for faults in [&self.faults, &self.state.faults] {
+            let faults = faults.lock().unwrap().clone();
+            tokio::time::sleep(faults.delay).await;
+            if faults.silent {
+                std::future::pending::<()>().await;
+            }
+            if faults.out {
+                return Some(json(503, &"out"));
+            }
         }
+        let state = &self.state;
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
         let body = read(request).await?;
         match (method, path.as_str()) {
-            (Method::POST, "/table/transact") => self.transact(&body),
-            (Method::POST, "/table/read") => Some(json(200, &self.read(&body)?)),
-            (Method::POST, "/table/scan") => Some(json(200, &self.scan(&body)?)),
-            (Method::GET, "/list") => Some(json(200, &self.list(&faults))),
-            (Method::POST, "/rate") if faults.ratings_out => Some(json(503, &"out")),
+            (Method::POST, "/table/transact") => state.transact(&body, &self.faults),
+            (Method::POST, "/table/read") => Some(json(200, &state.read(&body)?)),
+            (Method::POST, "/table/scan") => Some(json(200, &state.scan(&body)?)),
+            (Method::GET, "/list") => Some(json(200, &self.list())),
+            (Method::POST, "/rate") if state.ratings_out() => Some(json(503, &"out")),
             (Method::POST, "/rate") => Some(json(200, &rate(&body)?)),
-            (method, path) => Some(self.object(&method, path, body)),
+            (method, path) => Some(state.object(&method, path, body)),
+        }
+    }
+}
+
+impl View {
+    /// The list with this instance's addresses of the others.
+    fn list(&self) -> Vec<Instance> {
+        let mut list = self.state.list();
+        let addrs = self.addrs.lock().unwrap();
+        for instance in &mut list {
+            if let Some(addr) = addrs.get(&*instance.id) {
+                instance.addr = *addr;
+            }
         }
+        list
     }
 }
 
 impl State {
-    fn transact(&self, body: &[u8]) -> Option<Response<AnswerBody>> {
+    fn transact(
+        &self,
+        body: &[u8],
+        own: &Mutex<PlatformFaults>,
+    ) -> Option<Response<AnswerBody>> {
         if !self.admit_write() {
             return Some(json(429, &"too many writes"));
         }
         let transaction: Transaction = serde_json::from_slice(body).ok()?;
         let outcome = self.apply(transaction);
-        let mut faults = self.faults.lock().unwrap();
-        if let Some(left) = &mut faults.out_after_writes {
-            *left = left.saturating_sub(1);
-            if *left == 0 {
-                faults.out_after_writes = None;
-                faults.out = true;
-            }
-        }
-        if faults.lose_replies > 0 {
-            faults.lose_replies -= 1;
+        let lost = [own, &self.faults].map(|faults| after_write(&mut faults.lock().unwrap()));
+        if lost.contains(&true) {
             return None;
         }
         Some(json(200, &outcome))
     }
 
+    fn ratings_out(&self) -> bool {
+        self.faults.lock().unwrap().ratings_out
+    }
+
     fn admit_write(&self) -> bool {
         let rate = self.faults.lock().unwrap().write_rate;
         let mut calls = self.calls.lock().unwrap();
@@ -215,9 +278,9 @@
         Some(Page { rows: page, more: found.next().is_some() })
     }
 
-    fn list(&self, faults: &PlatformFaults) -> Vec<Instance> {
+    fn list(&self) -> Vec<Instance> {
         let mut shown = self.shown.lock().unwrap();
-        if !faults.frozen_list {
+        if !self.faults.lock().unwrap().frozen_list {
             *shown = self.list.lock().unwrap().clone();
         }
         shown.clone()
@@ -239,6 +302,20 @@
     }
 }
 
+/// What a write that took effect sets off; true if its reply is lost.
+fn after_write(faults: &mut PlatformFaults) -> bool {
+    if let Some(left) = &mut faults.out_after_writes {
+        *left = left.saturating_sub(1);
+        if *left == 0 {
+            faults.out_after_writes = None;
+            faults.out = true;
+        }
+    }
+    let lost = faults.lose_replies > 0;
+    faults.lose_replies = faults.lose_replies.saturating_sub(1);
+    lost
+}
+
 fn row_or_none(rows: &BTreeMap<String, Row>, key: &str) -> Row {
     let none = || Row { key: key.to_owned(), version: 0, value: serde_json::Value::Null };
     rows.get(key).cloned().unwrap_or_else(none)
