Rename the crate of the product's own store traits from platform to store

Cause: platform/ is the name that the users gave to the folder that translates for their platform, so the crate that holds the product's own traits needs another. Ruled out: keeping both names, which a newcomer would mix up. No behaviour changed; the workspace compiles. Nothing was measured.

--- a/crates/caller/src/claims.rs
+++ b/crates/caller/src/claims.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use ledger::{Bill, ClaimRow, ClaimState, Next, StoredAnswer, next};
-use platform::{HttpPlatform, StoreError, Table, insert, replace};
 use policy::RequestId;
 use router::{ClaimFound, Metrics, Shared};
+use store::{HttpPlatform, StoreError, Table, insert, replace};
 
 /// The first wait between tries to correct a row in the background.
 const CORRECT_FIRST: Duration = Duration::from_millis(250);
@@ -97,7 +97,7 @@
 }
 
 impl Claim {
-    fn judge(mut self, outcome: platform::Outcome, now_ms: u64) -> Taken {
+    fn judge(mut self, outcome: store::Outcome, now_ms: u64) -> Taken {
         let found = outcome.rows.first();
         self.version = found.map_or(0, |row| row.version);
         if outcome.applied {
--- a/crates/caller/src/pump.rs
+++ b/crates/caller/src/pump.rs
@@ -13,9 +13,9 @@
 use http::Response;
 use hyper::body::Frame;
 use ledger::{Bill, amount_micro};
-use platform::{Ratings, Sample};
 use policy::{Action, Event, Failure, Rating, Send, Usage};
 use router::{End, Ticket};
+use store::{Ratings, Sample};
 use tokio::sync::mpsc;
 
 use crate::answer;
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use config::{Change, Fault, PieceKey};
-use platform::HttpPlatform;
 use publish::{InForce, Plan, Publication, PublishError, Published, plan, read_head};
 use serde_json::json;
+use store::HttpPlatform;
 
 use crate::args::PublishArgs;
 use crate::failure::Failure;
--- a/crates/cli/src/commands/statement.rs
+++ b/crates/cli/src/commands/statement.rs
@@ -1,7 +1,7 @@
 //! `lacewingchute statement`.
 
 use ledger::{Batch, Bill, ClaimRow, ClaimState, Statement, statement};
-use platform::{HttpPlatform, Row, Table};
+use store::{HttpPlatform, Row, Table};
 
 use crate::args::StatementArgs;
 use crate::failure::Failure;
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -80,7 +80,7 @@
         base: None,
         renew: Vec::new(),
     };
-    let platform = platform::HttpPlatform::new(deployment.platform.addr());
+    let platform = store::HttpPlatform::new(deployment.platform.addr());
     let published = publish::publish(&platform, &publication).await?;
     println!("published {} pieces as number {}", published.changes.len(), published.number);
     Ok(())
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -10,11 +10,11 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use kernel::Service;
-use platform::{Objects, Table, Transaction, Write};
 use policy::{Event, GRANT, HaltKey};
 use rand::seq::IndexedRandom;
 use router::Shared;
 use serde_json::json;
+use store::{Objects, Table, Transaction, Write};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -6,10 +6,10 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use kernel::Service;
-use platform::Listing;
 use policy::Event;
 use router::Shared;
 use serde_json::json;
+use store::Listing;
 use tokio_util::sync::CancellationToken;
 
 use crate::pacing::poll_interval;
--- a/crates/entry/src/halts.rs
+++ b/crates/entry/src/halts.rs
@@ -7,10 +7,10 @@
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use kernel::Service;
-use platform::{Table, insert};
 use policy::{HaltKey, Verdict};
 use router::Shared;
 use serde_json::json;
+use store::{Table, insert};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio_util::sync::CancellationToken;
 
--- a/crates/fakes/src/deployment.rs
+++ b/crates/fakes/src/deployment.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use anyhow::Result;
-use platform::{Instance, Role};
 use policy::ServerState;
+use store::{Instance, Role};
 use tokio_util::sync::CancellationToken;
 
 use crate::engine::{Engine, EngineSettings};
--- a/crates/fakes/src/platform_fake.rs
+++ b/crates/fakes/src/platform_fake.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
-use platform::{Instance, Outcome, Page, Row, Sample, Transaction};
 use serde::Deserialize;
+use store::{Instance, Outcome, Page, Row, Sample, Transaction};
 use tokio_util::sync::CancellationToken;
 
 use crate::http_server::{AnswerBody, Connections, Handler, full, json, read, serve};
@@ -204,11 +204,7 @@
 }
 
 impl State {
-    fn transact(
-        &self,
-        body: &[u8],
-        own: &Mutex<PlatformFaults>,
-    ) -> Option<Response<AnswerBody>> {
+    fn transact(&self, body: &[u8], own: &Mutex<PlatformFaults>) -> Option<Response<AnswerBody>> {
         if !self.admit_write() {
             return Some(json(429, &"too many writes"));
         }
--- a/crates/publish/src/publication.rs
+++ b/crates/publish/src/publication.rs
@@ -8,7 +8,7 @@
     Change, Entry, Fault, HEAD_KEY, Head, Manifest, Name, Past, Piece, PieceKey, changes,
     check_whole, hash_bytes,
 };
-use platform::{Objects, Row, StoreError, Table, replace};
+use store::{Objects, Row, StoreError, Table, replace};
 
 use crate::prepare::{Acceptance, bytes, complete, source_hash};
 
--- a/crates/publish/src/wait.rs
+++ b/crates/publish/src/wait.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use config::Name;
-use platform::{Listing, Role, Table};
 use policy::{GRANT, ServerState};
+use store::{Listing, Role, Table};
 
 /// The prefix of the rows by which instances say what they have in force.
 const ACK_PREFIX: &str = "ack/";
--- a/crates/router/src/bills.rs
+++ b/crates/router/src/bills.rs
@@ -6,8 +6,8 @@
 
 use config::Name;
 use ledger::{Batch, Bill, Book, BookSize, BookStatus};
-use platform::{HttpPlatform, StoreError, Table, insert};
 use policy::RequestId;
+use store::{HttpPlatform, StoreError, Table, insert};
 
 use crate::directory::Directory;
 use crate::metrics::{BillState, Metrics};
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -4,8 +4,8 @@
 use std::sync::{Arc, RwLock};
 
 use config::Name;
-use platform::{Instance, Role};
 use policy::{ServerInfo, ServerState, rendezvous};
+use store::{Instance, Role};
 
 /// What the platform's list said last.
 #[derive(Debug, Default)]
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -5,8 +5,8 @@
 
 use config::Name;
 use ledger::BookSize;
-use platform::HttpPlatform;
 use policy::{HaltKey, Settings, Switches, Verdict};
+use store::HttpPlatform;
 use tokio::sync::mpsc;
 
 use crate::bills::Bills;
