Serve the users' platform: decisions in dispatch, forwarding in gateway, translation in platform/

Cause: the product answered 404 to every request of the platform; it had no route by host and prefix and no client of the platform's store. Ruled out: bending the OpenAI listener (dropshot) to any host and path, since its router wants fixed paths; claims and bills on this path, since one try of a caller reaches one instance and is settled there. Change: pure decisions (placing, admission, retry budget, model cascade, roll-outs) in crates/dispatch; hyper front, exchange, streams with resume, drain and peer datagrams in crates/gateway; wire names only in platform/; 'lacewingchute node' and deploy/system.toml. Before: every request 404.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -34,6 +34,8 @@
 pub enum Command {
     /// Runs an entry instance.
     Entry(EntryArgs),
+    /// Runs an instance on the users' platform.
+    Node(NodeArgs),
     /// Checks route files.
     Check(CheckArgs),
     /// Publishes route files.
@@ -46,6 +48,16 @@
     Statement(StatementArgs),
 }
 
+/// Runs an instance on the users' platform until it gets SIGTERM, then drains it.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "node",
+    example = "LACEWINGCHUTE_CONFIG=settings.json {command_name}",
+    note = "The platform writes the settings file; SIGHUP has it read again."
+)]
+pub struct NodeArgs {}
+
 /// Runs an entry instance until it gets SIGTERM, then drains it.
 #[derive(Debug, FromArgs)]
 #[argh(
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod dump;
 pub mod entry;
+pub mod node;
 mod operator;
 pub mod publish;
 pub mod statement;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -27,10 +27,16 @@
 }
 
 fn run(command: Command) -> Result<(), Failure> {
+    let Command::Node(_) = command else { return block_on(command) };
+    commands::node::run()
+}
+
+fn block_on(command: Command) -> Result<(), Failure> {
     let runtime = tokio::runtime::Runtime::new()?;
     runtime.block_on(async {
         match command {
             Command::Entry(args) => commands::entry::run(args).await,
+            Command::Node(_) => Ok(()),
             Command::Check(args) => commands::check::run(&args),
             Command::Publish(args) => commands::publish::run(args).await,
             Command::Status(args) => commands::status::run(args).await,
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,36 @@
+//! The decisions of the forwarding path, without I/O.
+//!
+//! Every function takes the time and an explicit picture of routes and
+//! servers. What each module decides, and the load it answers:
+//!
+//! - [`admit`](Admission): which requests are turned away, and until when
+//!   (more work than the servers can finish in time);
+//! - [`place`](place): which server gets a request (uneven servers, stale
+//!   reports, prompts that share parts);
+//! - [`cascade`](Cascade): which model answers first, and when a larger one
+//!   answers instead;
+//! - [`budget`](RetryBudget): whether a request may be sent again;
+//! - [`rollout`](Rollout): which version of a service gets a request.
+
+mod admit;
+mod budget;
+mod cascade;
+mod catalog;
+mod fleet;
+mod place;
+mod rollout;
+mod sessions;
+
+pub use admit::{Admission, Verdict};
+pub use budget::RetryBudget;
+pub use cascade::Cascade;
+pub use catalog::{
+    Account, Catalog, Engine, EngineModel, Limits, Repeat, Route, RouteTable, Service, Target,
+};
+pub use fleet::{Fleet, Outcome, Report, Server, ServerInfo};
+pub use place::{Ask, NoPlace, Part, Placement, place};
+pub use rollout::{Decision, Order, Phase, Rollout, RolloutState, Sample, Side, Tally};
+pub use sessions::Sessions;
+
+/// Monotonic time since the start of the process.
+pub type Mono = std::time::Duration;
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,415 @@
+//! The life of one request, from its head to its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::Name;
+use dispatch::{
+    Account, Admission, Ask, Cascade, Catalog, Mono, NoPlace, Outcome, Repeat, Route, Side,
+    Verdict, place,
+};
+use error::{Kind, Proof, Refusal};
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use policy::hash_parts;
+use serde_json::{Value, json};
+
+use crate::gateway::Gateway;
+use crate::metrics::Metrics;
+use crate::reply::{Reply, refused};
+use crate::send::{Flight, Head, Order, Sent, Target, WHOLE_LIMIT};
+use crate::wire::{Dialect, Intake};
+
+/// Sends beyond the route's attempts that servers may reject without running.
+const EXTRA_REJECTED: u32 = 2;
+/// The patience of a caller that names none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+/// A silent server is left after this many times the route's aim.
+const SILENT_AIMS: f64 = 2.5;
+/// The shortest time after which a silent server is left.
+const LEAST_SILENT: Duration = Duration::from_millis(600);
+/// How soon a request may come back that a passing fault kept from running.
+const SOON: Duration = Duration::from_millis(250);
+
+/// A request with all that was decided about it at its arrival.
+pub(crate) struct Job<D> {
+    pub gateway: Rc<Gateway<D>>,
+    pub route: Arc<Route>,
+    pub service: Name,
+    pub account: Option<Arc<Account>>,
+    pub intake: Intake,
+    pub head: Parts,
+    pub body: Bytes,
+    pub arrived: Mono,
+    pub deadline: Mono,
+    pub proof: Proof,
+    pub fingerprint: u64,
+}
+
+/// What has become of a request so far.
+#[derive(Debug, Default)]
+pub(crate) struct Progress {
+    /// Servers that had it.
+    pub tried: Vec<Name>,
+    /// Sends that reached a server.
+    pub sends: u32,
+    /// Sends that may have run.
+    pub runs: u32,
+    /// The place of the model among the route's sizes.
+    pub model: usize,
+    /// The last event that was passed on.
+    pub resume_after: Option<u64>,
+    /// The sends, for the log.
+    pub trail: Vec<Value>,
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn handle<D: Dialect>(
+    gateway: Rc<Gateway<D>>,
+    request: Request<Incoming>,
+) -> Response<Reply> {
+    let arrived = gateway.now();
+    gateway.metrics.open.inc();
+    let _open = OpenGuard(gateway.clone());
+    let (head, body) = request.into_parts();
+    let proof = Proof::at_arrival();
+    let mut id = String::new();
+    let answered = match admit(&gateway, head, body, arrived, &proof, &mut id).await {
+        Ok(job) => {
+            let job = Rc::new(Job { proof, ..job });
+            let answered = serve(&job).await;
+            if let Ok(response) = &answered {
+                gateway.metrics.first_byte.observe((gateway.now() - arrived).as_secs_f64());
+                Metrics::count(&gateway.metrics.requests, status_word(response.status().as_u16()));
+            }
+            answered
+        }
+        Err(refusal) => Err(refusal),
+    };
+    answered.unwrap_or_else(|refusal| {
+        Metrics::count(&gateway.metrics.requests, refusal.kind().name());
+        let fields = || {
+            json!({
+                "request": id,
+                "kind": refusal.kind().name(),
+                "not_run": refusal.says_not_run(),
+                "retry_after_ms": refusal.retry_after_ms(),
+                "held_ms": (gateway.now() - arrived).as_millis() as u64,
+                "config": gateway.catalog().map(|catalog| catalog.version),
+            })
+        };
+        gateway.lines.write("refused", gateway.now(), fields);
+        let mut response = refused(&refusal);
+        gateway.dialect.refuse(&id, response.headers_mut());
+        response
+    })
+}
+
+fn status_word(status: u16) -> &'static str {
+    match status {
+        200..=299 => "answered",
+        300..=499 => "answered_4xx",
+        _ => "answered_5xx",
+    }
+}
+
+struct OpenGuard<D>(Rc<Gateway<D>>);
+
+impl<D> Drop for OpenGuard<D> {
+    fn drop(&mut self) {
+        self.0.metrics.open.dec();
+    }
+}
+
+/// Reads the request and checks what the configuration says of it.
+async fn admit<D: Dialect>(
+    gateway: &Rc<Gateway<D>>,
+    head: Parts,
+    body: Incoming,
+    arrived: Mono,
+    proof: &Proof,
+    id: &mut String,
+) -> Result<Job<D>, Refusal> {
+    let refuse = |kind| Refusal::new(kind, proof);
+    let intake = gateway.dialect.intake(&head).map_err(refuse)?;
+    *id = intake.id.clone();
+    let catalog = gateway.catalog().ok_or_else(|| refuse(Kind::NotReady))?;
+    let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
+    let route = catalog.routes.find(host, head.uri.path()).cloned();
+    let route = route.ok_or_else(|| refuse(Kind::UnknownRoute))?;
+    let account = account(&catalog, &route, &intake).map_err(refuse)?;
+    let body = read(body, catalog.limits.body_bytes).await.map_err(refuse)?;
+    let service = route.target(gateway.draw()).cloned();
+    let service = service.ok_or_else(|| refuse(Kind::NoServer))?;
+    let patience = intake.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let caller = account.as_ref().map_or("", |account| &*account.name);
+    let fingerprint = hash_parts(&[path.as_bytes(), caller.as_bytes(), &body]);
+    gateway.budget.borrow_mut().arrived(&service, gateway.now());
+    Ok(Job {
+        gateway: gateway.clone(),
+        route,
+        service,
+        account,
+        intake,
+        head,
+        body,
+        arrived,
+        deadline: arrived + patience,
+        proof: Proof::at_arrival(),
+        fingerprint,
+    })
+}
+
+fn account(
+    catalog: &Catalog,
+    route: &Route,
+    intake: &Intake,
+) -> Result<Option<Arc<Account>>, Kind> {
+    let found = intake.key.as_ref().and_then(|key| catalog.keys.get(key)).cloned();
+    match found {
+        Some(account) => Ok(Some(account)),
+        None if route.public || !catalog.keyed => Ok(None),
+        None => Err(Kind::UnknownKey),
+    }
+}
+
+async fn read(body: Incoming, limit: usize) -> Result<Bytes, Kind> {
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Kind::BodyTooLarge),
+        Err(_) => Err(Kind::BodyCut),
+    }
+}
+
+async fn serve<D: Dialect>(job: &Rc<Job<D>>) -> Result<Response<Reply>, Refusal> {
+    let mut progress = Progress { resume_after: job.intake.resume_after, ..Progress::default() };
+    if !job.route.sizes.is_empty() {
+        progress.model = Cascade::first(job.route.sizes.len());
+    }
+    let until = job.gateway.instant(job.deadline);
+    let answered = tokio::time::timeout_at(until, job.run(&mut progress)).await;
+    let answered = answered.unwrap_or_else(|_| {
+        let kind = if progress.runs == 0 { Kind::QueueExpired } else { Kind::Timeout };
+        Err(Refusal::new(kind, &job.proof))
+    });
+    job.log_sends(&progress, answered.as_ref().map(|response| response.status().as_u16()).ok());
+    answered
+}
+
+impl<D: Dialect> Job<D> {
+    /// Sends the request until a server answers or nothing is left to try.
+    async fn run(self: &Rc<Self>, progress: &mut Progress) -> Result<Response<Reply>, Refusal> {
+        loop {
+            let target = self.choose(progress)?;
+            let (sent, flight) = self.send_next(progress, &target).await;
+            match sent {
+                Sent::NotRun(why) => self.not_run(progress, flight, why),
+                Sent::Lost(why) => {
+                    self.lost(progress, flight, why);
+                    self.may_repeat(progress)?;
+                }
+                Sent::Head(head) => {
+                    if let Some(response) = self.answered(progress, head, flight).await? {
+                        return Ok(response);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends to a server, within the budgets.
+    pub async fn send_next(&self, progress: &mut Progress, target: &Target) -> (Sent, Flight<D>) {
+        let repeats = self.route.repeatable() && progress.runs + 1 < self.route.attempts;
+        let left = self.deadline.saturating_sub(self.gateway.now());
+        let silent = self.route.aim.mul_f64(SILENT_AIMS).max(LEAST_SILENT);
+        let limit = if repeats { silent.min(left) } else { left };
+        let model = self.route.sizes.get(progress.model);
+        let order = Order {
+            model: model.map(|model| &**model),
+            rank: self.rank(),
+            resume_after: progress.resume_after,
+            limit,
+        };
+        progress.sends += 1;
+        progress.tried.push(target.server.clone());
+        self.send(target, &order).await
+    }
+
+    fn rank(&self) -> Option<u8> {
+        let own = self.account.as_ref().and_then(|account| account.rank);
+        let stream = self.route.stream.then_some(self.route.rank);
+        own.filter(|_| self.route.stream).or(stream).map(|rank| rank.min(9))
+    }
+
+    /// Chooses a server, or refuses.
+    pub fn choose(&self, progress: &Progress) -> Result<Target, Refusal> {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        if gateway.poison.borrow().convicted(self.fingerprint) {
+            return Err(self.refuse(Kind::CrashesServers, None));
+        }
+        if progress.sends >= self.route.attempts + EXTRA_REJECTED {
+            return Err(self.refuse(Kind::Overloaded, Some(SOON)));
+        }
+        let repeat = progress.sends > 0;
+        if repeat && !gateway.budget.borrow_mut().take(&self.service, gateway.sharers(), now) {
+            Metrics::count(&gateway.metrics.repeats, "no_budget");
+            return Err(self.refuse(Kind::Overloaded, Some(SOON)));
+        }
+        let (version, barred) = match gateway.side(&self.service, self.intake.session) {
+            Some((Side::New, to)) => (Some(to), None),
+            Some((Side::Old, to)) => (None, Some(to)),
+            None => (None, None),
+        };
+        let model = self.model(progress);
+        let ask = Ask {
+            service: &self.service,
+            version: version.as_ref(),
+            barred: barred.as_slice(),
+            domain: &gateway.setup.domain,
+            model,
+            parts: &self.intake.parts,
+            tried: &progress.tried,
+        };
+        let mut fleet = gateway.fleet.borrow_mut();
+        let draw = gateway.draw();
+        let placement = place(&fleet, &ask, draw, now).map_err(|why| match why {
+            NoPlace::NoServer | NoPlace::AllTried => self.refuse(Kind::NoServer, Some(SOON)),
+        })?;
+        let estimate = Duration::from_secs_f64(placement.estimate_ms / 1e3);
+        if let Verdict::Refuse(after) = Admission::judge(estimate, now, self.deadline, draw) {
+            return Err(self.refuse(Kind::Overloaded, Some(after)));
+        }
+        for part in &self.intake.parts {
+            fleet.holds(&placement.server, model, part.id, now);
+        }
+        let info = fleet.get(&placement.server).map(|server| server.info.clone());
+        let info = info.ok_or_else(|| self.refuse(Kind::NoServer, Some(SOON)))?;
+        drop(fleet);
+        if let Some(session) = self.intake.session {
+            gateway.sessions.borrow_mut().note(session, &info.version, now);
+        }
+        Ok(Target { server: info.id, version: info.version, addr: info.addr })
+    }
+
+    fn model<'a>(&'a self, progress: &Progress) -> &'a str {
+        let chosen = self.route.sizes.get(progress.model);
+        chosen.or(self.intake.model.as_ref()).map_or("", |model| &**model)
+    }
+
+    fn refuse(&self, kind: Kind, after: Option<Duration>) -> Refusal {
+        Refusal::new(kind, &self.proof).retry_after(after.map(|after| after.as_millis() as u64))
+    }
+
+    /// Notes a send that did not run.
+    pub fn not_run(&self, progress: &mut Progress, flight: Flight<D>, why: &'static str) {
+        self.trail(progress, &flight, why);
+        let outcome = match why {
+            "unreachable" | "closed" => Outcome::Unreachable,
+            _ => Outcome::Rejected,
+        };
+        if outcome == Outcome::Unreachable {
+            progress.sends -= 1;
+        }
+        flight.end(outcome, None);
+    }
+
+    /// Notes a send whose answer is lost.
+    pub fn lost(&self, progress: &mut Progress, flight: Flight<D>, why: &'static str) {
+        progress.runs += 1;
+        self.trail(progress, &flight, why);
+        if why == "broken" {
+            let now = self.gateway.now();
+            self.gateway.poison.borrow_mut().died(self.fingerprint, now);
+        }
+        flight.end(Outcome::Failed, None);
+    }
+
+    /// Whether a request that may have run may be sent again.
+    fn may_repeat(&self, progress: &Progress) -> Result<(), Refusal> {
+        let allowed = self.route.repeatable() && progress.runs < self.route.attempts;
+        if allowed { Ok(()) } else { Err(self.refuse(Kind::BackendFailed, None)) }
+    }
+
+    /// Takes the head of an answer; `None` if the request is to be sent again.
+    async fn answered(
+        self: &Rc<Self>,
+        progress: &mut Progress,
+        head: Box<Head>,
+        flight: Flight<D>,
+    ) -> Result<Option<Response<Reply>>, Refusal> {
+        progress.runs += 1;
+        if self.route.stream && head.status.is_success() {
+            return self.stream(progress, head, flight).await;
+        }
+        let Head { answer, status, first_byte, .. } = *head;
+        let headers = answer.head.headers.clone();
+        let body = match answer.collect(WHOLE_LIMIT).await {
+            Ok(Some(body)) => body,
+            Ok(None) | Err(_) => {
+                progress.runs -= 1;
+                self.lost(progress, flight, "cut");
+                return self.may_repeat(progress).map(|()| None);
+            }
+        };
+        self.gateway.poison.borrow_mut().answered(self.fingerprint);
+        let failed = status.is_server_error();
+        self.trail(progress, &flight, if failed { "failed" } else { "answered" });
+        let outcome = if failed { Outcome::Failed } else { Outcome::Sound };
+        flight.end(outcome, Some(first_byte));
+        if failed && self.may_repeat(progress).is_ok() && self.time_to_repeat() {
+            Metrics::count(&self.gateway.metrics.repeats, "failed");
+            return Ok(None);
+        }
+        let mut response = Response::new(Reply::whole(body));
+        *response.status_mut() = status;
+        *response.headers_mut() = self.gateway.dialect.back(&headers);
+        Ok(Some(response))
+    }
+
+    /// Whether enough time is left for another server to answer.
+    pub fn time_to_repeat(&self) -> bool {
+        let left = self.deadline.saturating_sub(self.gateway.now());
+        left > self.route.aim.mul_f64(0.3)
+    }
+
+    /// Whether the caller's stream may go on at another server.
+    pub fn may_resume(&self, progress: &Progress) -> bool {
+        self.route.repeat == Repeat::Resumable && self.may_repeat(progress).is_ok()
+    }
+
+    pub fn trail(&self, progress: &mut Progress, flight: &Flight<D>, how: &'static str) {
+        let now = self.gateway.now();
+        progress.trail.push(json!({
+            "server": &*flight.server,
+            "version": &*flight.version,
+            "model": self.model(progress),
+            "how": how,
+            "after_ms": flight.since.saturating_sub(self.arrived).as_millis() as u64,
+            "took_ms": now.saturating_sub(flight.since).as_millis() as u64,
+        }));
+    }
+
+    pub fn log_sends(&self, progress: &Progress, status: Option<u16>) {
+        let gateway = &self.gateway;
+        gateway.lines.write("request", gateway.now(), || {
+            json!({
+                "request": self.intake.id,
+                "route": &*self.route.name,
+                "service": &*self.service,
+                "account": self.account.as_ref().map(|account| &*account.name),
+                "config": gateway.catalog().map(|catalog| catalog.version),
+                "status": status,
+                "sends": progress.trail,
+                "passed_on": progress.resume_after,
+                "took_ms": gateway.now().saturating_sub(self.arrived).as_millis() as u64,
+            })
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! Forwarding of requests to the servers of their routes.
+//!
+//! One process serves on one thread. [`Front`] takes callers' connections,
+//! an exchange carries each request through the decisions of the `dispatch`
+//! crate to servers and back, and [`Gateway`] holds what all of them share.
+//! A [`Dialect`] says how requests and answers are spelled on the wire.
+
+mod exchange;
+mod events;
+mod front;
+mod gateway;
+mod metrics;
+mod peers;
+mod ready;
+mod record;
+mod reply;
+mod rollouts;
+mod send;
+mod stream;
+mod wire;
+
+pub use events::{Event, EventReader};
+pub use front::{Drained, Front};
+pub use gateway::{Gateway, GatewayBuilder, Setup};
+pub use metrics::Metrics;
+pub use peers::Peers;
+pub use ready::serve_status;
+pub use record::{Budgeted, record};
+pub use rollouts::{RolloutStore, Settled, run_rollouts};
+pub use wire::{Dialect, Facts, Forward, Intake};
--- /dev/null
+++ b/crates/gateway/src/rollouts.rs
@@ -0,0 +1,88 @@
+//! Carrying roll-outs to their end.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use dispatch::{Decision, Order, RolloutState};
+use serde_json::json;
+
+use crate::gateway::Gateway;
+use crate::record::record;
+
+/// How often a roll-out in progress is judged.
+const JUDGE_EVERY: Duration = Duration::from_millis(200);
+/// Instances write at moments that differ by up to this, so that one write is enough.
+const WRITE_SPREAD: Duration = Duration::from_millis(150);
+
+/// What became of writing a roll-out's state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Settled {
+    /// The state is written, by this instance or by another.
+    As(RolloutState),
+    /// It is not known; try again.
+    Unknown,
+}
+
+/// Where the states of roll-outs last.
+pub trait RolloutStore {
+    /// Writes the end of a roll-out unless it has another end already.
+    fn settle(&self, order: &Order, state: RolloutState) -> impl Future<Output = Settled>;
+}
+
+/// Judges roll-outs in progress, and writes their ends, until the process ends.
+pub async fn run_rollouts<D, S: RolloutStore>(gateway: Rc<Gateway<D>>, store: S) {
+    loop {
+        tokio::time::sleep(JUDGE_EVERY).await;
+        for (order, state) in gateway.rollouts_due() {
+            if state == RolloutState::RolledBack {
+                // This instance stops at once, whatever the store answers.
+                gateway.settled(&order.service, &order.to, state, false);
+            } else {
+                tokio::time::sleep(WRITE_SPREAD.mul_f64(gateway.draw())).await;
+            }
+            if let Settled::As(state) = store.settle(&order, state).await {
+                gateway.settled(&order.service, &order.to, state, true);
+                gateway.set_written(&order);
+            }
+        }
+    }
+}
+
+impl<D> Gateway<D> {
+    /// The roll-outs whose end is to be written now.
+    fn rollouts_due(&self) -> Vec<(Order, RolloutState)> {
+        let now = self.now();
+        let rollouts = self.rollouts.borrow();
+        let mut due = Vec::new();
+        for watched in rollouts.values().filter(|watched| !watched.written) {
+            let order = &watched.rollout.order;
+            let mut seen = watched.seen(now);
+            seen.old_open += self.old_open(&order.service, &order.to);
+            let state = match (watched.rollout.state, watched.rollout.decide(&seen, now)) {
+                (RolloutState::RolledBack, _) | (_, Decision::RollBack) => RolloutState::RolledBack,
+                (RolloutState::Completed, _) | (_, Decision::Complete) => RolloutState::Completed,
+                (RolloutState::InProgress, Decision::Wait) => continue,
+            };
+            let fields = json!({
+                "service": &*order.service,
+                "to": &*order.to,
+                "state": format!("{state:?}"),
+                "old": format!("{:?}", seen.old),
+                "new": format!("{:?}", seen.new),
+                "old_open": seen.old_open,
+            });
+            record("rollout_decided", now, fields);
+            due.push((order.clone(), state));
+        }
+        due
+    }
+
+    fn set_written(&self, order: &Order) {
+        if let Some(watched) = self.rollouts.borrow_mut().get_mut(&order.service)
+            && watched.rollout.order.revision == order.revision
+        {
+            watched.written = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,221 @@
+//! One send of a request to one server.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use config::Name;
+use conn::{Answer, Lease, SendError};
+use dispatch::{Mono, Outcome};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use crate::exchange::Job;
+use crate::gateway::Gateway;
+use crate::metrics::Metrics;
+use crate::wire::{Dialect, Facts, Forward};
+
+/// The longest answer that is read whole before it is passed on, in bytes.
+pub(crate) const WHOLE_LIMIT: usize = 4 << 20;
+
+/// A request in flight at a server; counts as abandoned unless it is ended.
+pub(crate) struct Flight<D> {
+    gateway: Rc<Gateway<D>>,
+    pub server: Name,
+    pub service: Name,
+    pub version: Name,
+    pub since: Mono,
+    ended: bool,
+}
+
+impl<D> Flight<D> {
+    /// Counts the request in.
+    pub fn begin(gateway: &Rc<Gateway<D>>, server: &Name, service: &Name, version: &Name) -> Self {
+        gateway.fleet.borrow_mut().sent(server);
+        Flight {
+            gateway: gateway.clone(),
+            server: server.clone(),
+            service: service.clone(),
+            version: version.clone(),
+            since: gateway.now(),
+            ended: false,
+        }
+    }
+
+    /// Counts the request out.
+    pub fn end(mut self, outcome: Outcome, first_byte: Option<Duration>) {
+        self.count(outcome);
+        let bad = outcome == Outcome::Failed;
+        if matches!(outcome, Outcome::Sound | Outcome::Failed) {
+            self.gateway.seen(&self.service, &self.version, bad, first_byte);
+        }
+    }
+
+    fn count(&mut self, outcome: Outcome) {
+        self.ended = true;
+        let reason = match outcome {
+            Outcome::Sound => "sound",
+            Outcome::Failed => "failed",
+            Outcome::Rejected => "rejected",
+            Outcome::Unreachable => "unreachable",
+            Outcome::Abandoned => "abandoned",
+        };
+        Metrics::count(&self.gateway.metrics.sends, reason);
+        let now = self.gateway.now();
+        self.gateway.fleet.borrow_mut().ended(&self.server, outcome, now);
+    }
+}
+
+impl<D> Drop for Flight<D> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.count(Outcome::Abandoned);
+        }
+    }
+}
+
+/// What came of a send.
+pub(crate) enum Sent {
+    /// The head of the server's own answer to this request.
+    Head(Box<Head>),
+    /// The request did not run there.
+    NotRun(&'static str),
+    /// The request may have run; no answer can be had.
+    Lost(&'static str),
+}
+
+/// The head of an answer, with its body still to be read.
+pub(crate) struct Head {
+    pub answer: Answer,
+    pub facts: Facts,
+    pub status: StatusCode,
+    pub first_byte: Duration,
+}
+
+impl<D: Dialect> Job<D> {
+    /// Sends the request to a server and reads the head of the answer.
+    ///
+    /// Returns with the flight where the server had the request.
+    pub async fn send(&self, to: &Target, order: &Order<'_>) -> (Sent, Flight<D>) {
+        let flight = Flight::begin(&self.gateway, &to.server, &self.service, &to.version);
+        let lease = match self.lease(to).await {
+            Ok(lease) => lease,
+            Err(error) => {
+                log::debug!("{}: no connection to {}: {error}", self.intake.id, to.server);
+                return (Sent::NotRun("unreachable"), flight);
+            }
+        };
+        let sent = tokio::time::timeout(order.limit, self.write(lease, to, order)).await;
+        match sent {
+            Ok(sent) => (sent, flight),
+            Err(_) => {
+                self.gateway.pool.forget(to.addr);
+                (Sent::Lost("silent"), flight)
+            }
+        }
+    }
+
+    /// A connection: a new one where the request may run once only, since a
+    /// kept one can have gone silent.
+    async fn lease(&self, to: &Target) -> std::io::Result<Lease> {
+        match self.route.repeatable() {
+            true => self.gateway.pool.lease(to.addr).await,
+            false => self.gateway.pool.open(to.addr).await,
+        }
+    }
+
+    async fn write(&self, mut lease: Lease, to: &Target, order: &Order<'_>) -> Sent {
+        let mut request = self.request(to, order);
+        loop {
+            let reused = lease.reused();
+            if lease.ready().await {
+                let Some(writing) = self.proof.writing() else { return Sent::NotRun("refused") };
+                let since = self.gateway.now();
+                match lease.send(request).await {
+                    Ok(answer) => {
+                        let sent = self.classify(answer, to, since);
+                        if matches!(sent, Sent::NotRun(_)) {
+                            writing.nothing_written();
+                        }
+                        return sent;
+                    }
+                    Err(SendError::Unsent(unsent)) => {
+                        writing.nothing_written();
+                        request = *unsent;
+                    }
+                    Err(SendError::Broken(error)) => {
+                        log::debug!("{}: {} broke off: {error}", self.intake.id, to.server);
+                        return Sent::Lost("broken");
+                    }
+                }
+            }
+            if !reused {
+                return Sent::NotRun("closed");
+            }
+            match self.gateway.pool.open(to.addr).await {
+                Ok(new) => lease = new,
+                Err(_) => return Sent::NotRun("unreachable"),
+            }
+        }
+    }
+
+    fn request(&self, to: &Target, order: &Order<'_>) -> Request<Full<Bytes>> {
+        let now = self.gateway.now();
+        let forward = Forward {
+            server: &to.server,
+            left: self.deadline.saturating_sub(now),
+            account: self.account.as_ref().map(|account| &*account.name),
+            model: order.model,
+            rank: order.rank,
+            resume_after: order.resume_after,
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = self.gateway.dialect.forward(&self.head.headers, &forward);
+        request
+    }
+
+    /// Tells the server's own answer to this request from anything else.
+    fn classify(&self, answer: Answer, to: &Target, since: Mono) -> Sent {
+        let facts = self.gateway.dialect.answer(&answer.head);
+        let now = self.gateway.now();
+        if let Some(report) = facts.report {
+            self.gateway.fleet.borrow_mut().reported(&to.server, report, now);
+        }
+        let status = answer.head.status;
+        let own = facts.id.as_deref().is_none_or(|id| id == self.intake.id);
+        if !own {
+            return Sent::Lost("other_request");
+        }
+        if facts.misdirected {
+            self.gateway.fleet.borrow_mut().leaving(&to.server);
+            return Sent::NotRun("other_server");
+        }
+        if facts.not_run {
+            return Sent::NotRun("rejected");
+        }
+        if facts.id.is_none() || !facts.sealed || facts.encoded || status.is_informational() {
+            return Sent::Lost("not_vouched");
+        }
+        let first_byte = now.saturating_sub(since);
+        Sent::Head(Box::new(Head { answer, facts, status, first_byte }))
+    }
+}
+
+/// Where a send goes.
+#[derive(Debug, Clone)]
+pub(crate) struct Target {
+    pub server: Name,
+    pub version: Name,
+    pub addr: std::net::SocketAddr,
+}
+
+/// What differs between the sends of one request.
+#[derive(Debug)]
+pub(crate) struct Order<'a> {
+    pub model: Option<&'a str>,
+    pub rank: Option<u8>,
+    pub resume_after: Option<u64>,
+    pub limit: Duration,
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -36,6 +36,7 @@
 pub use evidence::{EPOCH_MS, EvidenceRow, HaltKey, Tally, Verdict, VersionKey, judge};
 pub use hash::{hash_parts, hash_unit, rendezvous};
 pub use peers::{Digest, LoadHint, Member, PoisonRow};
+pub use poison::Poison;
 pub use quality::QualityRow;
 pub use queue::{FairQueue, Waiting};
 pub use settings::{Selection, Settings, Switches};
