Keep drains, sessions and feeds to their bounds; fewer calls to the store

Ruled out: a fixed hash for the trial's sessions alone (a session that began before the order would still move).

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -26,7 +26,11 @@
 /// A connection that was idle for longer is not used again.
 const IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// Sent bytes must be acknowledged within this time.
-const ACK_LIMIT: Duration = Duration::from_secs(3);
+const ACK_LIMIT: Duration = Duration::from_millis(2_500);
+/// A quiet connection is probed after this time, and again at this interval.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection counts as dead.
+const PROBES: u32 = 2;
 /// Idle connections kept for each address.
 const IDLE_PER_ADDRESS: usize = 64;
 
@@ -216,7 +220,10 @@
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(&stream);
     socket.set_tcp_user_timeout(Some(ACK_LIMIT))?;
-    let keepalive = socket2::TcpKeepalive::new().with_time(ACK_LIMIT).with_interval(ACK_LIMIT);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(PROBE_EVERY)
+        .with_interval(PROBE_EVERY)
+        .with_retries(PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -8,11 +8,16 @@
 use std::time::Duration;
 
 use config::Name;
+use serde::{Deserialize, Serialize};
 
 use crate::Mono;
 
 /// The share of sessions that try a new version.
 const TRIAL_SHARE: f64 = 0.06;
+/// How long after the order the first sessions try the new version.
+///
+/// By then instances have told each other which sessions run on the old one.
+const TRIAL_AFTER: Duration = Duration::from_millis(1_500);
 /// The part of the order's time after which work moves over.
 const MOVE_FROM: f64 = 0.52;
 /// The part of the order's time at which all work has moved.
@@ -46,7 +51,7 @@
 }
 
 /// What has become of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RolloutState {
     /// Work is being moved.
     InProgress,
@@ -68,6 +73,8 @@
 /// How far the order has come.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Phase {
+    /// The new version waits.
+    Ahead,
     /// A share of the sessions tries the new version.
     Trial,
     /// Work moves over; the share that has moved.
@@ -178,8 +185,11 @@
 
     /// How far it has come by the clock.
     pub fn phase(&self, now: Mono) -> Phase {
-        let spent = now.saturating_sub(self.order.began).as_secs_f64();
-        let part = spent / self.order.duration.as_secs_f64().max(0.1);
+        let spent = now.saturating_sub(self.order.began);
+        if spent < TRIAL_AFTER {
+            return Phase::Ahead;
+        }
+        let part = spent.as_secs_f64() / self.order.duration.as_secs_f64().max(0.1);
         if part < MOVE_FROM {
             Phase::Trial
         } else if part < MOVED_BY {
@@ -204,7 +214,7 @@
         let kept_new = kept.map(|version| *version == self.order.to);
         match (self.phase(now), kept_new) {
             (_, Some(true)) => Side::New,
-            (Phase::Trial, Some(false)) => Side::Old,
+            (Phase::Ahead, _) | (Phase::Trial, Some(false)) => Side::Old,
             (Phase::Trial, None) if place < TRIAL_SHARE => Side::New,
             (Phase::Trial, None) => Side::Old,
             (Phase::Moving(share), _) if place < TRIAL_SHARE.max(share) => Side::New,
@@ -222,7 +232,7 @@
             return Decision::RollBack;
         }
         match self.phase(now) {
-            Phase::Trial | Phase::Moving(_) => Decision::Wait,
+            Phase::Ahead | Phase::Trial | Phase::Moving(_) => Decision::Wait,
             Phase::Moved if seen.old_open > 0 => Decision::Wait,
             Phase::Moved | Phase::Due => Decision::Complete,
         }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -143,10 +143,13 @@
     let route = catalog.routes.find(host, head.uri.path()).cloned();
     let route = route.ok_or_else(|| refuse(Kind::UnknownRoute))?;
     let account = account(&catalog, &route, &intake).map_err(refuse)?;
+    let patience = intake.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
+    if gateway.refuses(patience) {
+        return Err(refuse(Kind::Draining));
+    }
     let body = read(body, catalog.limits.body_bytes).await.map_err(refuse)?;
     let service = route.target(gateway.draw()).cloned();
     let service = service.ok_or_else(|| refuse(Kind::NoServer))?;
-    let patience = intake.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let caller = account.as_ref().map_or("", |account| &*account.name);
     let fingerprint = hash_parts(&[path.as_bytes(), caller.as_bytes(), &body]);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -15,14 +15,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::exchange::handle;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, Leaving};
 use crate::record::record;
 use crate::wire::Dialect;
 
 /// The balancer asks once a second and takes an instance out after two misses.
 const BALANCER_LAG: Duration = Duration::from_millis(2_600);
 /// How long before the end of the grace an answer in flight is given up.
-const END_MARGIN: Duration = Duration::from_millis(500);
+const END_MARGIN: Duration = Duration::from_millis(900);
 /// How often a drain looks whether requests are open.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 /// The pause after a connection could not be accepted.
@@ -58,9 +58,13 @@
     pub async fn drain(self, grace: Duration) -> Drained {
         let start = Instant::now();
         let end = start + grace.saturating_sub(END_MARGIN);
-        self.gateway.drain();
+        let now = self.gateway.now();
+        let lag = BALANCER_LAG.min(grace / 3);
+        let leaving =
+            Leaving { choosy_from: now + lag, ends: now + grace.saturating_sub(END_MARGIN) };
+        self.gateway.drain(leaving);
         record("draining", self.gateway.now(), json!({ "grace_ms": grace.as_millis() as u64 }));
-        tokio::time::sleep(BALANCER_LAG.min(grace / 3)).await;
+        tokio::time::sleep(lag).await;
         self.closing.cancel();
         tokio::time::sleep(DRAIN_LOOK).await;
         while self.gateway.metrics.open.get() > 0 && Instant::now() < end {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -101,7 +101,7 @@
             poison: RefCell::default(),
             rollouts: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(self.seed)),
-            draining: Cell::new(false),
+            draining: Cell::new(None),
             sharers: Cell::new(1),
             lines: Budgeted::default(),
             metrics: Metrics::default(),
@@ -118,6 +118,7 @@
     pub own: Tally,
     pub peers: HashMap<Name, (Tally, Mono)>,
     pub written: bool,
+    pub due: Option<Mono>,
 }
 
 impl Watched {
@@ -135,6 +136,15 @@
     }
 }
 
+/// When an instance leaves.
+#[derive(Debug, Clone, Copy)]
+pub struct Leaving {
+    /// From here on a request is taken only if it ends in time.
+    pub choosy_from: Mono,
+    /// When what is still in flight is cut off.
+    pub ends: Mono,
+}
+
 /// The state that all exchanges of one process share.
 pub struct Gateway<D> {
     /// The wire format.
@@ -155,7 +165,7 @@
     listed: Cell<bool>,
     listings: RefCell<HashMap<Name, Mono>>,
     rng: RefCell<ChaCha8Rng>,
-    draining: Cell<bool>,
+    draining: Cell<Option<Leaving>>,
     sharers: Cell<usize>,
     started: Instant,
 }
@@ -246,17 +256,19 @@
 
     /// Whether callers may be sent here.
     pub fn ready(&self) -> bool {
-        self.listed.get() && self.catalog.borrow().is_some() && !self.draining.get()
+        self.listed.get() && self.catalog.borrow().is_some() && self.draining.get().is_none()
     }
 
-    /// Says not ready from now on.
-    pub fn drain(&self) {
-        self.draining.set(true);
+    /// Says not ready from now on; new work is refused if it can end too late.
+    pub fn drain(&self, leaving: Leaving) {
+        self.draining.set(Some(leaving));
     }
 
-    /// Whether the instance is leaving.
-    pub fn draining(&self) -> bool {
-        self.draining.get()
+    /// Whether a request that may take `longest` can't be taken any more.
+    pub(crate) fn refuses(&self, longest: Duration) -> bool {
+        let now = self.now();
+        let Some(leaving) = self.draining.get() else { return false };
+        now >= leaving.choosy_from && now + longest > leaving.ends
     }
 
     /// Sets how many instances share the budgets.
@@ -285,24 +297,33 @@
         });
         record("rollout_ordered", self.now(), fields);
         let service = order.service.clone();
+        self.sessions.borrow_mut().watch(true, self.now());
         let watched = Watched {
             rollout: Rollout::new(order),
             own: Tally::default(),
             peers: HashMap::new(),
             written: false,
+            due: None,
         };
         rollouts.insert(service, watched);
     }
 
+    /// The revision of the newest order for a service.
+    pub(crate) fn rollout_revision(&self, service: &str) -> Option<u64> {
+        self.rollouts.borrow().get(service).map(|watched| watched.rollout.order.revision)
+    }
+
     /// Takes the state that an order is known to have; `written` if it lasts.
     pub fn settled(&self, service: &str, to: &str, state: RolloutState, written: bool) {
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(watched) = rollouts.get_mut(service) else { return };
+        watched.written |= written && watched.rollout.state == state;
         let rollout = &mut watched.rollout;
         let open = rollout.state == RolloutState::InProgress;
         if *rollout.order.to == *to && open && state != RolloutState::InProgress {
             rollout.state = state;
             watched.written = written;
+            self.sessions.borrow_mut().watch(false, self.now());
             let fields = json!({ "service": service, "to": to, "state": format!("{state:?}") });
             record("rollout_settled", self.now(), fields);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use events::{Event, EventReader};
 pub use front::{Drained, Front};
-pub use gateway::{Gateway, GatewayBuilder, Setup};
+pub use gateway::{Gateway, GatewayBuilder, Leaving, Setup};
 pub use metrics::Metrics;
 pub use peers::Peers;
 pub use ready::serve_status;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,8 @@
 //! Datagrams are sent while there is something to tell; one that is lost is
 //! made good by the next, since every one carries whole counts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use anyhow::{Context, Result};
 use config::Name;
 use dispatch::{RolloutState, Sample, Tally};
+use policy::hash_parts;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -20,57 +22,92 @@
 const TELL_EVERY: Duration = Duration::from_millis(400);
 /// The longest datagram, in bytes.
 const LONGEST: usize = 8 << 10;
+/// Sessions that are told at the most in one datagram.
+const MOST_SESSIONS: usize = 120;
+/// How often an instance greets those it has learnt of.
+const GREETINGS: u32 = 3;
 /// Convicted requests that are told at the most in one datagram.
 const MOST_POISON: usize = 32;
 
 /// The other instances.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
-    addrs: RefCell<Vec<SocketAddr>>,
+    own: SocketAddr,
+    addrs: RefCell<BTreeSet<SocketAddr>>,
+    greetings: Cell<u32>,
 }
 
 #[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Digest {
     instance: Name,
+    from: Option<SocketAddr>,
     rollouts: Vec<Seen>,
     poison: Vec<(u64, u32)>,
+    sessions: Vec<(u64, Name)>,
 }
 
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct Seen {
     service: Name,
+    to: Name,
     revision: u64,
+    state: RolloutState,
+    written: bool,
     old: [f64; 4],
     new: [f64; 4],
     old_open: u32,
 }
 
 impl Peers {
-    /// Replaces the addresses.
-    pub fn set(&self, addrs: Vec<SocketAddr>) {
-        *self.addrs.borrow_mut() = addrs;
+    /// No peers yet, for an instance that listens at `own`.
+    pub fn new(own: SocketAddr) -> Self {
+        Peers { own, addrs: RefCell::default(), greetings: Cell::new(0) }
+    }
+
+    /// Adds addresses and greets them, so that they know this instance too.
+    pub fn add(&self, addrs: impl IntoIterator<Item = SocketAddr>) {
+        let own = self.own;
+        self.addrs.borrow_mut().extend(addrs.into_iter().filter(|addr| *addr != own));
+        self.greetings.set(GREETINGS);
+    }
+
+    /// How many instances there are, this one included.
+    pub fn members(&self) -> usize {
+        self.addrs.borrow().len() + 1
+    }
+
+    /// The place of this instance in the order for a chore; others take it over
+    /// one after the other.
+    pub fn rank(&self, chore: &str) -> usize {
+        let score =
+            |addr: &SocketAddr| hash_parts(&[chore.as_bytes(), addr.to_string().as_bytes()]);
+        let own = score(&self.own);
+        self.addrs.borrow().iter().filter(|addr| score(addr) < own).count()
     }
 
     /// Tells and listens until the process ends.
-    pub async fn run<D: 'static>(
-        self: Rc<Self>,
-        gateway: Rc<Gateway<D>>,
-        addr: SocketAddr,
-    ) -> Result<()> {
-        let socket = UdpSocket::bind(addr).await;
-        let socket = Rc::new(socket.with_context(|| format!("peers' address {addr}"))?);
-        tokio::task::spawn_local(listen(gateway.clone(), socket.clone()));
+    pub async fn run<D: 'static>(self: Rc<Self>, gateway: Rc<Gateway<D>>) -> Result<()> {
+        let socket = UdpSocket::bind(self.own).await;
+        let socket = Rc::new(socket.with_context(|| format!("peers' address {}", self.own))?);
+        tokio::task::spawn_local(self.clone().listen(gateway.clone(), socket.clone()));
         tokio::task::spawn_local(self.tell(gateway, socket));
         Ok(())
     }
 
     async fn tell<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
         let mut told = Digest::default();
+        let mut before = Vec::new();
         loop {
             tokio::time::sleep(TELL_EVERY).await;
-            let digest = gateway.digest();
-            let nothing = digest.rollouts.is_empty() && digest.poison.is_empty();
-            if nothing || digest == told {
+            let mut digest = gateway.digest(self.own);
+            // Each session is told twice, since datagrams can be lost.
+            let sessions = digest.sessions.clone();
+            digest.sessions.append(&mut before);
+            digest.sessions.truncate(MOST_SESSIONS);
+            before = sessions;
+            let greets = self.greetings.get() > 0;
+            self.greetings.set(self.greetings.get().saturating_sub(1));
+            if digest == told && !greets {
                 continue;
             }
             let Ok(bytes) = serde_json::to_vec(&digest) else { continue };
@@ -83,31 +120,37 @@
             told = digest;
         }
     }
-}
 
-async fn listen<D>(gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; LONGEST];
-    loop {
-        match socket.recv_from(&mut buffer).await {
-            Ok((length, from)) => match serde_json::from_slice(&buffer[..length]) {
-                Ok(digest) => gateway.told(digest),
-                Err(error) => log::debug!("a datagram of {from} can't be read: {error}"),
-            },
-            Err(error) => {
-                log::debug!("no datagram: {error}");
-                tokio::time::sleep(TELL_EVERY).await;
+    async fn listen<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
+        let mut buffer = vec![0; LONGEST];
+        loop {
+            match socket.recv_from(&mut buffer).await {
+                Ok((length, from)) => match serde_json::from_slice::<Digest>(&buffer[..length]) {
+                    Ok(digest) => {
+                        self.addrs.borrow_mut().extend(digest.from);
+                        gateway.set_members(self.members());
+                        gateway.told(digest);
+                    }
+                    Err(error) => log::debug!("a datagram of {from} can't be read: {error}"),
+                },
+                Err(error) => {
+                    log::debug!("no datagram: {error}");
+                    tokio::time::sleep(TELL_EVERY).await;
+                }
             }
         }
     }
 }
 
 impl<D> Gateway<D> {
-    fn digest(&self) -> Digest {
+    fn digest(&self, from: SocketAddr) -> Digest {
         let rollouts = self.rollouts.borrow();
-        let open = rollouts.values().filter(|w| w.rollout.state == RolloutState::InProgress);
-        let seen = open.map(|watched| Seen {
+        let seen = rollouts.values().map(|watched| Seen {
             service: watched.rollout.order.service.clone(),
+            to: watched.rollout.order.to.clone(),
             revision: watched.rollout.order.revision,
+            state: watched.rollout.state,
+            written: watched.written,
             old: pack(&watched.own.old),
             new: pack(&watched.own.new),
             old_open: self.old_open(&watched.rollout.order.service, &watched.rollout.order.to),
@@ -115,13 +158,20 @@
         let poison = self.poison.borrow();
         Digest {
             instance: self.setup.instance.clone(),
+            from: Some(from),
             rollouts: seen.collect(),
             poison: poison.rows().take(MOST_POISON).collect(),
+            sessions: self.sessions.borrow_mut().take_untold(),
         }
     }
 
     fn told(&self, digest: Digest) {
         let now = self.now();
+        for seen in &digest.rollouts {
+            if self.rollout_revision(&seen.service) == Some(seen.revision) {
+                self.settled(&seen.service, &seen.to, seen.state, seen.written);
+            }
+        }
         let mut rollouts = self.rollouts.borrow_mut();
         for seen in digest.rollouts {
             let Some(watched) = rollouts.get_mut(&seen.service) else { continue };
@@ -136,6 +186,10 @@
         for (fingerprint, deaths) in digest.poison {
             poison.merge(fingerprint, deaths, now);
         }
+        let mut sessions = self.sessions.borrow_mut();
+        for (session, version) in digest.sessions {
+            sessions.merge(session, &version, now);
+        }
     }
 
     /// Own requests in flight at servers of another version than `to`.
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -8,12 +8,13 @@
 use serde_json::json;
 
 use crate::gateway::Gateway;
+use crate::peers::Peers;
 use crate::record::record;
 
 /// How often a roll-out in progress is judged.
 const JUDGE_EVERY: Duration = Duration::from_millis(200);
-/// Instances write at moments that differ by up to this, so that one write is enough.
-const WRITE_SPREAD: Duration = Duration::from_millis(150);
+/// How long each instance leaves the write to the one before it in rank.
+const WRITE_SPREAD: Duration = Duration::from_millis(900);
 
 /// What became of writing a roll-out's state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,15 +32,16 @@
 }
 
 /// Judges roll-outs in progress, and writes their ends, until the process ends.
-pub async fn run_rollouts<D, S: RolloutStore>(gateway: Rc<Gateway<D>>, store: S) {
+pub async fn run_rollouts<D, S: RolloutStore>(gateway: Rc<Gateway<D>>, peers: Rc<Peers>, store: S) {
     loop {
         tokio::time::sleep(JUDGE_EVERY).await;
         for (order, state) in gateway.rollouts_due() {
             if state == RolloutState::RolledBack {
-                // This instance stops at once, whatever the store answers.
+                // This instance stops at once, whoever writes and whatever the store answers.
                 gateway.settled(&order.service, &order.to, state, false);
-            } else {
-                tokio::time::sleep(WRITE_SPREAD.mul_f64(gateway.draw())).await;
+            }
+            if !gateway.turn(&order, peers.rank(&order.service)) {
+                continue;
             }
             if let Settled::As(state) = store.settle(&order, state).await {
                 gateway.settled(&order.service, &order.to, state, true);
@@ -78,6 +80,15 @@
         due
     }
 
+    /// Whether it is this instance's turn to write, by its rank.
+    fn turn(&self, order: &Order, rank: usize) -> bool {
+        let mut rollouts = self.rollouts.borrow_mut();
+        let Some(watched) = rollouts.get_mut(&order.service) else { return false };
+        let now = self.now();
+        let due = *watched.due.get_or_insert(now);
+        now.saturating_sub(due) >= WRITE_SPREAD * u32::try_from(rank).unwrap_or(u32::MAX)
+    }
+
     fn set_written(&self, order: &Order) {
         if let Some(watched) = self.rollouts.borrow_mut().get_mut(&order.service)
             && watched.rollout.order.revision == order.revision
