Scenarios of the users' platform with the real program; five faults that they found

Ruled out for the last: a longer wait before the trial, which costs the roll-out's time and does not bound the datagrams.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -119,9 +119,9 @@
         self.failures * fade(now, self.judged, FAILURE_FADES)
     }
 
-    /// Whether work may go there.
-    pub fn usable(&self, now: Mono) -> bool {
-        !self.info.leaving && now >= self.paused_until
+    /// Whether it could not be reached a moment ago.
+    pub fn paused(&self, now: Mono) -> bool {
+        now < self.paused_until
     }
 
     fn ended(&mut self, outcome: Outcome, now: Mono) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,7 +29,7 @@
 };
 pub use fleet::{Fleet, Outcome, Report, Server, ServerInfo};
 pub use place::{Ask, NoPlace, Part, Placement, place};
-pub use rollout::{Decision, Order, Phase, Rollout, RolloutState, Sample, Side, Tally};
+pub use rollout::{Decision, Order, Phase, Rollout, RolloutState, Sample, Side, Tally, may_try};
 pub use sessions::Sessions;
 
 /// Monotonic time since the start of the process.
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -20,6 +20,9 @@
 const QUEUE_MS: f64 = 40.0;
 /// What a certain failure weighs against waiting, in ms.
 const FAILURE_MS: f64 = 2_000.0;
+/// What it weighs that a server could not be reached a moment ago, in ms: it is
+/// asked only if no other is left.
+const PAUSED_MS: f64 = 60_000.0;
 /// What it weighs to cross failure domains with a prompt, in ms.
 const CROSS_MS: f64 = 12.0;
 /// The share of a prompt's shared parts that its home is trusted to hold.
@@ -87,7 +90,7 @@
     let home = home(&candidates, ask);
     let mut best: Option<(f64, f64, &Server)> = None;
     for server in candidates {
-        if !server.usable(now) || ask.tried.contains(&server.info.id) {
+        if ask.tried.contains(&server.info.id) {
             continue;
         }
         let estimate = estimate(fleet, server, ask, home == Some(&server.info.id), now);
@@ -96,6 +99,7 @@
         let cost = estimate
             + FAILURE_MS * server.failure_rate(now)
             + if crosses { CROSS_MS } else { 0.0 }
+            + if server.paused(now) { PAUSED_MS } else { 0.0 }
             + jitter as f64 / 32.0;
         if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
             best = Some((cost, estimate, server));
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -177,6 +177,13 @@
     pub state: RolloutState,
 }
 
+/// Whether a session at this place, from 0 to 1, may try a new version.
+///
+/// The version of all others is known without being told.
+pub fn may_try(place: f64) -> bool {
+    place < TRIAL_SHARE
+}
+
 impl Rollout {
     /// An order that has just been given.
     pub fn new(order: Order) -> Self {
@@ -215,7 +222,7 @@
         match (self.phase(now), kept_new) {
             (_, Some(true)) => Side::New,
             (Phase::Ahead, _) | (Phase::Trial, Some(false)) => Side::Old,
-            (Phase::Trial, None) if place < TRIAL_SHARE => Side::New,
+            (Phase::Trial, None) if may_try(place) => Side::New,
             (Phase::Trial, None) => Side::Old,
             (Phase::Moving(share), _) if place < TRIAL_SHARE.max(share) => Side::New,
             (Phase::Moving(_), _) => Side::Old,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,6 +8,8 @@
 mod platform_fake;
 mod relay;
 mod service;
+mod site_server;
+mod site_store;
 
 pub use deployment::{DOMAINS, Deployment, FakeVersion, VERSIONS};
 pub use engine::{Engine, EngineFaults, EngineSettings};
@@ -15,3 +17,5 @@
 pub use platform_fake::{PlatformFake, PlatformFaults, PlatformView};
 pub use relay::{Relay, RelayMode};
 pub use service::{BookingService, ServiceFaults};
+pub use site_server::{STREAM_EVENTS, SiteArrival, SiteFault, SiteJournal, SiteServer};
+pub use site_store::{SiteStore, SiteStoreFaults};
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -198,8 +198,8 @@
     let until = job.gateway.instant(job.deadline);
     let answered = tokio::time::timeout_at(until, job.run(&mut progress)).await;
     let answered = answered.unwrap_or_else(|_| {
-        let kind = if progress.runs == 0 { Kind::QueueExpired } else { Kind::Timeout };
-        Err(Refusal::new(kind, &job.proof))
+        let unsent = Refusal::new(Kind::QueueExpired, &job.proof);
+        Err(if unsent.says_not_run() { unsent } else { job.refuse(Kind::Timeout, None) })
     });
     job.log_sends(&progress, answered.as_ref().map(|response| response.status().as_u16()).ok());
     answered
@@ -215,6 +215,9 @@
                 Sent::NotRun(why) => self.not_run(progress, flight, why),
                 Sent::Lost(why) => {
                     self.lost(progress, flight, why);
+                    if why == "silent" && self.may_repeat(progress).is_err() {
+                        return Err(self.refuse(Kind::Timeout, None));
+                    }
                     self.may_repeat(progress)?;
                 }
                 Sent::Head(head) => {
@@ -271,7 +274,7 @@
             None => (None, None),
         };
         let model = self.model(progress);
-        let ask = Ask {
+        let mut ask = Ask {
             service: &self.service,
             version: version.as_ref(),
             barred: barred.as_slice(),
@@ -282,7 +285,12 @@
         };
         let mut fleet = gateway.fleet.borrow_mut();
         let draw = gateway.draw();
-        let placement = place(&fleet, &ask, draw, now).map_err(|why| match why {
+        let mut placement = place(&fleet, &ask, draw, now);
+        if placement == Err(NoPlace::AllTried) && self.route.repeatable() {
+            ask.tried = &[];
+            placement = place(&fleet, &ask, draw, now);
+        }
+        let placement = placement.map_err(|why| match why {
             NoPlace::NoServer | NoPlace::AllTried => self.refuse(Kind::NoServer, Some(SOON)),
         })?;
         let estimate = Duration::from_secs_f64(placement.estimate_ms / 1e3);
@@ -328,8 +336,7 @@
         progress.runs += 1;
         self.trail(progress, &flight, why);
         if why == "broken" {
-            let now = self.gateway.now();
-            self.gateway.poison.borrow_mut().died(self.fingerprint, now);
+            self.gateway.broke_off(self.fingerprint, &flight.server);
         }
         flight.end(Outcome::Failed, None);
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -66,6 +66,7 @@
         record("draining", self.gateway.now(), json!({ "grace_ms": grace.as_millis() as u64 }));
         tokio::time::sleep(lag).await;
         self.closing.cancel();
+        self.gateway.metrics.draining.set(1);
         tokio::time::sleep(DRAIN_LOOK).await;
         while self.gateway.metrics.open.get() > 0 && Instant::now() < end {
             tokio::time::sleep(DRAIN_LOOK).await;
@@ -110,14 +111,16 @@
     });
     let serving = http1::Builder::new()
         .timer(TokioTimer::new())
+        .keep_alive(!closing.is_cancelled())
         .header_read_timeout(idle)
         .max_buf_size(READ_AHEAD)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
+    let late = closing.is_cancelled();
     let ended = tokio::select! {
         ended = serving.as_mut() => ended,
-        () = closing.cancelled() => {
+        () = closing.cancelled(), if !late => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! What all exchanges of one process share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,6 +24,14 @@
 /// How long what a peer says of a roll-out counts.
 const PEER_KEPT: Duration = Duration::from_secs(3);
 
+/// A request is stopped after this many servers died of it: many callers send
+/// alike requests here, so that two deaths can be chance.
+const DEATHS_TO_STOP: u32 = 3;
+/// Crashes that are remembered, so that each counts once for a request.
+const MOST_CRASHES: usize = 512;
+/// How long after a broken connection a server is asked whether it lives.
+const DEATH_LOOK: Duration = Duration::from_millis(30);
+
 /// What a gateway is told at its start.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -98,7 +106,8 @@
                 setup.retry_slack,
                 setup.retry_window,
             )),
-            poison: RefCell::default(),
+            poison: RefCell::new(Poison::new(DEATHS_TO_STOP)),
+            crashes: RefCell::default(),
             rollouts: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(self.seed)),
             draining: Cell::new(None),
@@ -160,6 +169,7 @@
     pub(crate) sessions: RefCell<Sessions>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) poison: RefCell<Poison>,
+    pub(crate) crashes: RefCell<VecDeque<(u64, Name)>>,
     pub(crate) rollouts: RefCell<HashMap<Name, Watched>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     listed: Cell<bool>,
@@ -170,6 +180,37 @@
     started: Instant,
 }
 
+impl<D: 'static> Gateway<D> {
+    /// Finds out whether a server died of a request that it broke off.
+    pub(crate) fn broke_off(self: &Rc<Self>, fingerprint: u64, server: &Name) {
+        let addr = self.fleet.borrow().get(server).map(|server| server.info.addr);
+        let Some(addr) = addr else { return };
+        let (gateway, server) = (self.clone(), server.clone());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(DEATH_LOOK).await;
+            if gateway.pool.open(addr).await.is_err() {
+                gateway.died(fingerprint, server);
+            }
+        });
+    }
+
+    fn died(&self, fingerprint: u64, server: Name) {
+        let mut crashes = self.crashes.borrow_mut();
+        let crash = (fingerprint, server);
+        if crashes.contains(&crash) {
+            return;
+        }
+        let deaths = self.poison.borrow_mut().died(fingerprint, self.now());
+        let fields =
+            || json!({ "fingerprint": fingerprint, "server": &*crash.1, "deaths": deaths });
+        self.lines.write("server_died", self.now(), fields);
+        crashes.push_back(crash);
+        if crashes.len() > MOST_CRASHES {
+            crashes.pop_front();
+        }
+    }
+}
+
 impl<D> Gateway<D> {
     /// Monotonic time since the start.
     pub fn now(&self) -> Mono {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,6 +38,8 @@
     pub servers: Gauge,
     /// Requests in flight.
     pub open: Gauge,
+    /// 1 while the instance leaves and refuses what could end too late.
+    pub draining: Gauge,
     /// Other instances known.
     pub members: Gauge,
 }
@@ -54,6 +56,7 @@
             config_version: Gauge::default(),
             servers: Gauge::default(),
             open: Gauge::default(),
+            draining: Gauge::default(),
             members: Gauge::default(),
         };
         metrics.register();
@@ -83,6 +86,8 @@
         registry.register("config_version", "Version of the configuration", version);
         registry.register("servers", "Servers known", self.servers.clone());
         registry.register("open_requests", "Requests in flight", self.open.clone());
+        let draining = self.draining.clone();
+        registry.register("draining", "1 while the instance leaves", draining);
         registry.register("members", "Other instances known", self.members.clone());
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,8 +11,8 @@
 
 use anyhow::{Context, Result};
 use config::Name;
-use dispatch::{RolloutState, Sample, Tally};
-use policy::hash_parts;
+use dispatch::{RolloutState, Sample, Tally, may_try};
+use policy::{hash_parts, hash_unit};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
@@ -156,12 +156,16 @@
             old_open: self.old_open(&watched.rollout.order.service, &watched.rollout.order.to),
         });
         let poison = self.poison.borrow();
+        let untold = self.sessions.borrow_mut().take_untold();
         Digest {
             instance: self.setup.instance.clone(),
             from: Some(from),
             rollouts: seen.collect(),
             poison: poison.rows().take(MOST_POISON).collect(),
-            sessions: self.sessions.borrow_mut().take_untold(),
+            sessions: untold
+                .into_iter()
+                .filter(|(session, _)| may_try(hash_unit(*session)))
+                .collect(),
         }
     }
 
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -5,7 +5,8 @@
 
 /// How long a death is remembered.
 const MEMORY: Duration = Duration::from_secs(900);
-/// A request is stopped after it was running on this many servers when they died.
+/// A request is stopped after it was running on this many servers when they
+/// died, unless another number is set: one death can be chance, two hardly.
 const DEATHS_TO_STOP: u32 = 2;
 /// How many fingerprints are remembered.
 const MOST_ROWS: usize = 4_096;
@@ -15,9 +16,16 @@
 /// After one death every request that ran there is a suspect and is run again
 /// on a server with no other suspect, so that a second death convicts the
 /// request that caused it and no other.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Poison {
     rows: HashMap<u64, Row>,
+    limit: u32,
+}
+
+impl Default for Poison {
+    fn default() -> Self {
+        Poison::new(DEATHS_TO_STOP)
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -27,6 +35,11 @@
 }
 
 impl Poison {
+    /// Stops a request after so many deaths.
+    pub fn new(limit: u32) -> Self {
+        Poison { rows: HashMap::new(), limit }
+    }
+
     /// Notes that a server died while it ran the fingerprint; returns the deaths.
     pub fn died(&mut self, fingerprint: u64, now: Duration) -> u32 {
         self.make_room(now);
@@ -38,7 +51,8 @@
 
     /// Notes that the fingerprint was answered; a conviction stays.
     pub fn answered(&mut self, fingerprint: u64) {
-        if self.rows.get(&fingerprint).is_some_and(|row| row.deaths < DEATHS_TO_STOP) {
+        let limit = self.limit;
+        if self.rows.get(&fingerprint).is_some_and(|row| row.deaths < limit) {
             self.rows.remove(&fingerprint);
         }
     }
@@ -50,7 +64,7 @@
 
     /// Whether the fingerprint may not run again.
     pub fn convicted(&self, fingerprint: u64) -> bool {
-        self.rows.get(&fingerprint).is_some_and(|row| row.deaths >= DEATHS_TO_STOP)
+        self.rows.get(&fingerprint).is_some_and(|row| row.deaths >= self.limit)
     }
 
     /// Takes over what a peer knows.
--- /dev/null
+++ b/tests/runner/node.rs
@@ -0,0 +1,156 @@
+//! A process of the product, started by its settings file.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use anyhow::{Context, Result, bail};
+use http_body_util::Full;
+use serde_json::json;
+
+/// The longest wait for a condition, in looks.
+const LOOKS: u32 = 1_500;
+/// The pause between two looks.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A running process; killed when dropped.
+pub struct Node {
+    child: Child,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    status: SocketAddr,
+    settings: PathBuf,
+}
+
+/// What one request brought.
+#[derive(Debug)]
+pub struct Reply {
+    /// The status; 0 if the connection ended without one.
+    pub status: u16,
+    /// Whether the body was whole.
+    pub whole: bool,
+    /// The body.
+    pub body: Vec<u8>,
+    /// The headers.
+    pub headers: http::HeaderMap,
+}
+
+impl Node {
+    /// Starts a process.
+    pub fn start(name: &str, store: SocketAddr, grace_s: f64) -> Result<Node> {
+        let (callers, status, peers) = (free_port()?, free_port()?, free_port()?);
+        let settings = json!({
+            "node_name": name,
+            "ip": "127.0.0.1",
+            "zone": "z1",
+            "listen": { "frontend": callers, "readiness": status },
+            "internal_ports": [peers.port(), peers.port()],
+            "platform": { "address": store },
+            "bounds": {
+                "grace_s": grace_s, "retry_budget_ratio": 0.9, "retry_window_s": 10,
+                "retry_slack": 58, "session_s": 5,
+            },
+            "unknown": { "field": [1, 2] },
+        });
+        let file = format!("lacewingchute-{}-{}.json", std::process::id(), callers.port());
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, settings.to_string())?;
+        let child = Command::new(env!("CARGO_BIN_EXE_lacewingchute"))
+            .arg("node")
+            .env("LACEWINGCHUTE_CONFIG", &path)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .context("starting the program")?;
+        Ok(Node { child, callers, status, settings: path })
+    }
+
+    /// Waits until it says that it is ready, or that it is not.
+    pub async fn until_ready(&self, ready: bool) -> Result<()> {
+        let expected = if ready { 200 } else { 503 };
+        for _ in 0..LOOKS {
+            let status = get(self.status, "/readyz").await.map(|reply| reply.status);
+            if status.ok() == Some(expected) {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        bail!("it does not answer {expected} to the readiness check")
+    }
+
+    /// Waits until a metric has a value.
+    pub async fn until_metric(&self, name: &str, value: &str) -> Result<()> {
+        let line = format!("lacewingchute_{name} {value}");
+        let mut seen = String::new();
+        for _ in 0..LOOKS {
+            if let Ok(reply) = get(self.status, "/metrics").await {
+                seen = String::from_utf8_lossy(&reply.body).into_owned();
+                if seen.lines().any(|other| other == line) {
+                    return Ok(());
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        bail!("{line:?} does not come; the metrics are:\n{seen}")
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let id = self.child.id().to_string();
+        let done = Command::new("kill").args([&format!("-{name}"), &id]).status()?;
+        if done.success() { Ok(()) } else { bail!("kill -{name} failed") }
+    }
+
+    /// Waits until it has ended by itself; returns its exit code.
+    pub async fn until_ended(&mut self) -> Result<i32> {
+        for _ in 0..LOOKS {
+            if let Some(status) = self.child.try_wait()? {
+                return Ok(status.code().unwrap_or(-1));
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        bail!("it does not end")
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+async fn get(addr: SocketAddr, path: &str) -> Result<Reply> {
+    let request = http::Request::get(path).header("host", "status").body(Full::default())?;
+    exchange(addr, request).await
+}
+
+/// Sends one request on a new connection and reads the answer.
+pub async fn exchange(addr: SocketAddr, request: conn::Request) -> Result<Reply> {
+    let lease = conn::Pool::new().open(addr).await?;
+    let Ok(mut answer) = lease.send(request).await else {
+        return Ok(Reply {
+            status: 0,
+            whole: false,
+            body: Vec::new(),
+            headers: http::HeaderMap::new(),
+        });
+    };
+    let (status, headers) = (answer.head.status.as_u16(), answer.head.headers.clone());
+    let mut body = Vec::new();
+    let whole = loop {
+        match answer.chunk().await {
+            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    Ok(Reply { status, whole, body, headers })
+}
+
+fn free_port() -> Result<SocketAddr> {
+    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+}
