Roll-outs go by the order's age, also at an instance that starts late

Ruled out: the wall clock (it may jump) and the age told by peers alone (an instance serves before it has heard one). Change: the begin of an order stands in the state's row by the store's steady clock, written by one instance by rank; peers tell the age too.

--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -46,6 +46,8 @@
     pub duration: Duration,
     /// When it was given, on the instance's clock.
     pub began: Mono,
+    /// How long before the start of the instance's clock it was given.
+    pub before_start: Duration,
     /// Tells orders for the same version apart.
     pub revision: u64,
 }
@@ -190,9 +192,14 @@
         Rollout { order, state: RolloutState::InProgress }
     }
 
+    /// How long ago the order was given.
+    pub fn age(&self, now: Mono) -> Duration {
+        now.saturating_sub(self.order.began) + self.order.before_start
+    }
+
     /// How far it has come by the clock.
     pub fn phase(&self, now: Mono) -> Phase {
-        let spent = now.saturating_sub(self.order.began);
+        let spent = self.age(now);
         if spent < TRIAL_AFTER {
             return Phase::Ahead;
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -127,6 +127,7 @@
     pub own: Tally,
     pub peers: HashMap<Name, (Tally, Mono)>,
     pub written: bool,
+    pub begun: bool,
     pub due: Option<Mono>,
 }
 
@@ -334,7 +335,7 @@
             "service": &*order.service,
             "to": &*order.to,
             "duration_ms": order.duration.as_millis() as u64,
-            "age_ms": self.now().saturating_sub(order.began).as_millis() as u64,
+            "revision": order.revision,
         });
         record("rollout_ordered", self.now(), fields);
         let service = order.service.clone();
@@ -344,6 +345,7 @@
             own: Tally::default(),
             peers: HashMap::new(),
             written: false,
+            begun: false,
             due: None,
         };
         rollouts.insert(service, watched);
@@ -358,10 +360,14 @@
     pub fn settled(&self, service: &str, to: &str, state: RolloutState, written: bool) {
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(watched) = rollouts.get_mut(service) else { return };
+        if state == RolloutState::InProgress {
+            watched.begun |= written;
+            return;
+        }
         watched.written |= written && watched.rollout.state == state;
         let rollout = &mut watched.rollout;
         let open = rollout.state == RolloutState::InProgress;
-        if *rollout.order.to == *to && open && state != RolloutState::InProgress {
+        if *rollout.order.to == *to && open {
             rollout.state = state;
             watched.written = written;
             self.sessions.borrow_mut().watch(false, self.now());
@@ -370,6 +376,20 @@
         }
     }
 
+    /// Takes the age of an order, by which all instances go; one that starts
+    /// late learns it from a peer or from the store.
+    pub fn rollout_age(&self, service: &str, to: &str, age: Duration) {
+        let mut rollouts = self.rollouts.borrow_mut();
+        let Some(watched) = rollouts.get_mut(service) else { return };
+        let order = &mut watched.rollout.order;
+        let began = self.now().checked_sub(age).unwrap_or_default();
+        let before_start = age.saturating_sub(self.now());
+        if *order.to == *to && (began < order.began || before_start > order.before_start) {
+            order.began = began;
+            order.before_start = before_start;
+        }
+    }
+
     /// The version that a request goes to while one is brought in.
     pub(crate) fn side(&self, service: &Name, session: Option<u64>) -> Option<(Side, Name)> {
         let now = self.now();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -37,7 +37,7 @@
     greetings: Cell<u32>,
 }
 
-#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 struct Digest {
     instance: Name,
     from: Option<SocketAddr>,
@@ -46,18 +46,32 @@
     sessions: Vec<(u64, Name)>,
 }
 
-#[derive(Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Seen {
     service: Name,
     to: Name,
     revision: u64,
     state: RolloutState,
     written: bool,
+    begun: bool,
+    age_ms: u64,
     old: [f64; 4],
     new: [f64; 4],
     old_open: u32,
 }
 
+impl Digest {
+    /// Whether it tells nothing new; the age of an order grows by itself.
+    fn same(&self, told: &Digest) -> bool {
+        let ageless = |digest: &Digest| {
+            let mut digest = digest.clone();
+            digest.rollouts.iter_mut().for_each(|seen| seen.age_ms = 0);
+            digest
+        };
+        ageless(self) == ageless(told)
+    }
+}
+
 impl Peers {
     /// No peers yet, for an instance that listens at `own`.
     pub fn new(own: SocketAddr) -> Self {
@@ -107,7 +121,7 @@
             before = sessions;
             let greets = self.greetings.get() > 0;
             self.greetings.set(self.greetings.get().saturating_sub(1));
-            if digest == told && !greets {
+            if digest.same(&told) && !greets {
                 continue;
             }
             let Ok(bytes) = serde_json::to_vec(&digest) else { continue };
@@ -151,6 +165,8 @@
             revision: watched.rollout.order.revision,
             state: watched.rollout.state,
             written: watched.written,
+            begun: watched.begun,
+            age_ms: watched.rollout.age(self.now()).as_millis() as u64,
             old: pack(&watched.own.old),
             new: pack(&watched.own.new),
             old_open: self.old_open(&watched.rollout.order.service, &watched.rollout.order.to),
@@ -174,6 +190,7 @@
         for seen in &digest.rollouts {
             if self.rollout_revision(&seen.service) == Some(seen.revision) {
                 self.settled(&seen.service, &seen.to, seen.state, seen.written);
+                self.rollout_age(&seen.service, &seen.to, Duration::from_millis(seen.age_ms));
             }
         }
         let mut rollouts = self.rollouts.borrow_mut();
@@ -184,6 +201,7 @@
             }
             let tally =
                 Tally { old: unpack(&seen.old), new: unpack(&seen.new), old_open: seen.old_open };
+            watched.begun |= seen.begun;
             watched.peers.insert(digest.instance.clone(), (tally, now));
         }
         let mut poison = self.poison.borrow_mut();
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -27,6 +27,9 @@
 
 /// Where the states of roll-outs last.
 pub trait RolloutStore {
+    /// Writes that an order of this age is being carried out; true if that lasts.
+    fn begin(&self, order: &Order, age: Duration) -> impl Future<Output = bool>;
+
     /// Writes the end of a roll-out unless it has another end already.
     fn settle(&self, order: &Order, state: RolloutState) -> impl Future<Output = Settled>;
 }
@@ -35,6 +38,13 @@
 pub async fn run_rollouts<D, S: RolloutStore>(gateway: Rc<Gateway<D>>, peers: Rc<Peers>, store: S) {
     loop {
         tokio::time::sleep(JUDGE_EVERY).await;
+        for (order, age) in gateway.rollouts_new() {
+            if age >= WRITE_SPREAD * u32::try_from(peers.rank(&order.service)).unwrap_or(u32::MAX)
+                && store.begin(&order, age).await
+            {
+                gateway.set_begun(&order);
+            }
+        }
         for (order, state) in gateway.rollouts_due() {
             if state == RolloutState::RolledBack {
                 // This instance stops at once, whoever writes and whatever the store answers.
@@ -52,6 +62,22 @@
 }
 
 impl<D> Gateway<D> {
+    /// The orders of which nothing is written yet, with their ages.
+    fn rollouts_new(&self) -> Vec<(Order, Duration)> {
+        let rollouts = self.rollouts.borrow();
+        let new = rollouts.values().filter(|watched| !watched.begun && !watched.written);
+        new.map(|watched| (watched.rollout.order.clone(), watched.rollout.age(self.now())))
+            .collect()
+    }
+
+    fn set_begun(&self, order: &Order) {
+        if let Some(watched) = self.rollouts.borrow_mut().get_mut(&order.service)
+            && watched.rollout.order.revision == order.revision
+        {
+            watched.begun = true;
+        }
+    }
+
     /// The roll-outs whose end is to be written now.
     fn rollouts_due(&self) -> Vec<(Order, RolloutState)> {
         let now = self.now();
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -11,6 +11,7 @@
 //!   `ended ID CODE`, `metric ID NAME VALUE` wait for a process.
 //! - `store out|silent|back|compact|break`, `order SERVICE VERSION SECONDS`,
 //!   `state SERVICE STATE` waits for a roll-out's state.
+//! - `within-order MS` checks the time since the last order.
 //! - `load NODE PATH SERVICE STATE` sends requests until a roll-out has a state.
 //! - `ask NODE PATH ID [key=K] [deadline=MS] [session=S] [last=N] [method=M]
 //!   [body=B] [header=NAME:VALUE]` sends a request; `start` does not wait and
@@ -72,6 +73,7 @@
     nodes: HashMap<String, Node>,
     asked: HashMap<String, JoinHandle<Result<(Reply, Duration)>>>,
     last: Option<(Reply, Duration)>,
+    ordered: Option<Instant>,
     stop: CancellationToken,
 }
 
@@ -84,6 +86,7 @@
             nodes: HashMap::new(),
             asked: HashMap::new(),
             last: None,
+            ordered: None,
             stop,
         })
     }
@@ -120,6 +123,11 @@
             ["order", service, version, seconds] => {
                 let order = json!({ "service": service, "to": version, "duration_s": seconds.parse::<f64>()? });
                 self.store.put("op", &format!("rollout/{service}"), order.to_string().as_bytes());
+                self.ordered = Some(Instant::now());
+            }
+            ["within-order", ms] => {
+                let since = self.ordered.context("nothing was ordered")?.elapsed();
+                ensure!(since <= Duration::from_millis(ms.parse()?), "it took {since:?}");
             }
             ["state", service, state] => self.until_state(service, state).await?,
             ["load", node, path, service, state] => {
