Keep idle connections for as long as servers say, and give up slow connects early

Ruled out: servers dying (they answered the next request). Change: the Keep-Alive time of the answer bounds reuse, 400 ms where none is named; a booking may use a connection that served within 700 ms; a kept connection that breaks within 15 ms is not held against the server; connects end after 400 ms.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -21,10 +21,16 @@
 /// The request type that connections send.
 pub type Request = http::Request<Full<Bytes>>;
 
-/// How long a connection may take to open.
-const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+/// How long a connection may take to open: longer than a region's round trip,
+/// shorter than the second after which a lost opening packet is sent again.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// A connection that was idle for longer is not used again.
 const IDLE_LIMIT: Duration = Duration::from_secs(2);
+/// The share of the idle time that a server names for which a connection is used.
+const IDLE_SHARE: f64 = 0.7;
+/// The idle limit where a server names no time: servers whose time is under a
+/// second can't name it.
+const UNNAMED_IDLE: Duration = Duration::from_millis(400);
 /// Sent bytes must be acknowledged within this time.
 const ACK_LIMIT: Duration = Duration::from_millis(2_500);
 /// A quiet connection is probed after this time, and again at this interval.
@@ -44,6 +50,7 @@
 struct Idle {
     link: Link,
     since: Instant,
+    limit: Duration,
 }
 
 impl Pool {
@@ -55,7 +62,7 @@
     /// Takes an idle connection, or opens one.
     pub async fn lease(&self, addr: SocketAddr) -> io::Result<Lease> {
         match self.take(addr) {
-            Some(link) => Ok(Lease { link, pool: self.clone(), reused: true }),
+            Some((link, idle)) => Ok(Lease { link, pool: self.clone(), reused: true, idle }),
             None => self.open(addr).await,
         }
     }
@@ -64,7 +71,7 @@
     pub async fn open(&self, addr: SocketAddr) -> io::Result<Lease> {
         let opening = tokio::time::timeout(CONNECT_LIMIT, connect(addr));
         let link = opening.await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        Ok(Lease { link, pool: self.clone(), reused: false })
+        Ok(Lease { link, pool: self.clone(), reused: false, idle: Duration::ZERO })
     }
 
     /// Drops all idle connections to an address.
@@ -72,26 +79,26 @@
         self.idle.lock().unwrap().remove(&addr);
     }
 
-    fn take(&self, addr: SocketAddr) -> Option<Link> {
+    fn take(&self, addr: SocketAddr) -> Option<(Link, Duration)> {
         let mut idle = self.idle.lock().unwrap();
         let list = idle.get_mut(&addr)?;
         while let Some(entry) = list.pop() {
-            if entry.since.elapsed() < IDLE_LIMIT && !entry.link.sender.is_closed() {
-                return Some(entry.link);
+            if entry.since.elapsed() < entry.limit && !entry.link.sender.is_closed() {
+                return Some((entry.link, entry.since.elapsed()));
             }
         }
         idle.remove(&addr);
         None
     }
 
-    fn give_back(&self, link: Link) {
+    fn give_back(&self, link: Link, limit: Duration) {
         if link.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().unwrap();
         let list = idle.entry(link.addr).or_default();
         if list.len() < IDLE_PER_ADDRESS {
-            list.push(Idle { link, since: Instant::now() });
+            list.push(Idle { link, since: Instant::now(), limit });
         }
     }
 }
@@ -121,6 +128,7 @@
     link: Link,
     pool: Pool,
     reused: bool,
+    idle: Duration,
 }
 
 /// A request that was not answered.
@@ -138,6 +146,11 @@
         self.link.addr
     }
 
+    /// How long the connection was idle before this lease.
+    pub fn idle(&self) -> Duration {
+        self.idle
+    }
+
     /// Whether the connection served a request before.
     pub fn reused(&self) -> bool {
         self.reused
@@ -210,11 +223,22 @@
 
     fn finish(&mut self) {
         if let Some(Lease { link, pool, .. }) = self.lease.take() {
-            pool.give_back(link);
+            pool.give_back(link, idle_limit(&self.head.headers));
         }
     }
 }
 
+/// How long a connection may be idle, by the server's `Keep-Alive` header.
+fn idle_limit(headers: &http::HeaderMap) -> Duration {
+    let named = headers.get("keep-alive").and_then(|value| value.to_str().ok());
+    let timeout = |part: &str| part.trim().strip_prefix("timeout=")?.trim().parse::<u64>().ok();
+    let seconds = named.and_then(|named| named.split(',').find_map(timeout));
+    match seconds {
+        Some(seconds) => IDLE_LIMIT.min(Duration::from_secs(seconds).mul_f64(IDLE_SHARE)),
+        None => UNNAMED_IDLE,
+    }
+}
+
 async fn connect(addr: SocketAddr) -> io::Result<Link> {
     let stream = TcpStream::connect(addr).await?;
     stream.set_nodelay(true)?;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -338,7 +338,9 @@
         if why == "broken" {
             self.gateway.broke_off(self.fingerprint, &flight.server);
         }
-        flight.end(Outcome::Failed, None);
+        // An idle server's closed connection says nothing of the server.
+        let outcome = if why == "stale" { Outcome::Abandoned } else { Outcome::Failed };
+        flight.end(outcome, None);
     }
 
     /// Whether a request that may have run may be sent again.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -18,6 +18,11 @@
 /// The longest answer that is read whole before it is passed on, in bytes.
 pub(crate) const WHOLE_LIMIT: usize = 4 << 20;
 
+/// A connection that was used so short a time ago is taken for alive.
+const PROVEN_FOR: Duration = Duration::from_millis(700);
+/// A kept connection that breaks so soon was closed by an idle server.
+const STALE_WITHIN: Duration = Duration::from_millis(15);
+
 /// A request in flight at a server; counts as abandoned unless it is ended.
 pub(crate) struct Flight<D> {
     gateway: Rc<Gateway<D>>,
@@ -115,11 +120,13 @@
         }
     }
 
-    /// A connection: a new one where the request may run once only, since a
-    /// kept one can have gone silent.
+    /// A connection: one that was used just now, or a new one, where the request
+    /// may run once only, since a kept one can have gone silent.
     async fn lease(&self, to: &Target) -> std::io::Result<Lease> {
-        match self.route.repeatable() {
-            true => self.gateway.pool.lease(to.addr).await,
+        let lease = self.gateway.pool.lease(to.addr).await?;
+        let proven = !lease.reused() || lease.idle() < PROVEN_FOR;
+        match self.route.repeatable() || proven {
+            true => Ok(lease),
             false => self.gateway.pool.open(to.addr).await,
         }
     }
@@ -143,6 +150,13 @@
                         writing.nothing_written();
                         request = *unsent;
                     }
+                    Err(SendError::Broken(_))
+                        if reused
+                            && self.route.repeatable()
+                            && self.gateway.now().saturating_sub(since) < STALE_WITHIN =>
+                    {
+                        return Sent::Lost("stale");
+                    }
                     Err(SendError::Broken(error)) => {
                         log::debug!("{}: {} broke off: {error}", self.intake.id, to.server);
                         return Sent::Lost("broken");
