Keep a smaller model's answer by its confidence and by how pressed the servers are

Load pattern: a crest at which each answer of a large model delays many others. Ruled out: one limit for all loads. Change: the limit falls from 60 on idle servers to 22 at a crest, by the time to the first byte as a share of the aim; ranks that count less fall further.

--- a/crates/dispatch/src/cascade.rs
+++ b/crates/dispatch/src/cascade.rs
@@ -1,40 +1,88 @@
 //! Which model answers first, and when a larger one answers instead.
 //!
-//! The load it answers: requests of unlike difficulty that all fit the
-//! smallest model's price and only some its skill.
+//! The load it answers: requests of unlike difficulty, all within the smallest
+//! model's price and only some within its skill, and crests at which each
+//! answer of a large model delays many others.
 
 use std::time::Duration;
 
-/// The confidence, from 0 to 100, at which an answer of a smaller model is kept.
-const KEEP_FROM: u8 = 55;
+/// The confidence from which a smaller model's answer is kept while servers are idle.
+const KEEP_IDLE: f64 = 60.0;
+/// The confidence from which it is kept at a crest.
+const KEEP_CREST: f64 = 22.0;
+/// The pressure up to which servers count as idle.
+const IDLE_PRESSURE: f64 = 0.12;
+/// The pressure from which they are at a crest.
+const CREST_PRESSURE: f64 = 0.5;
+/// How much less a rank counts, in points of confidence at a crest.
+const RANK_POINTS: f64 = 6.0;
 /// The share of the aim that must be left for a larger model to be asked.
 const LEFT_SHARE: f64 = 0.35;
+/// The weight of the newest answer in the pressure.
+const NEWEST: f64 = 0.06;
+
+/// How pressed the servers of a service are: the time to the first byte as a
+/// share of the aim, averaged over recent answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Pressure {
+    share: f64,
+}
+
+impl Pressure {
+    /// Counts an answer.
+    pub fn answered(&mut self, first_byte: Duration, aim: Duration) {
+        let share = first_byte.as_secs_f64() / aim.as_secs_f64().max(1e-3);
+        self.share += (share.min(2.0) - self.share) * NEWEST;
+    }
+
+    /// Where the servers stand between idle (0) and a crest (1).
+    pub fn level(&self) -> f64 {
+        ((self.share - IDLE_PRESSURE) / (CREST_PRESSURE - IDLE_PRESSURE)).clamp(0.0, 1.0)
+    }
+}
+
+/// What is known of a request when its answer's confidence comes in.
+#[derive(Debug, Clone, Copy)]
+pub struct Doubt {
+    /// The place of the model that answers.
+    pub place: usize,
+    /// How many models there are.
+    pub sizes: usize,
+    /// The model's own opinion, from 0 to 100.
+    pub confidence: Option<u8>,
+    /// What is left of the time in which an answer is on time.
+    pub left: Duration,
+    /// The whole of that time.
+    pub aim: Duration,
+    /// Servers that may still be asked.
+    pub sends_left: u32,
+    /// The rank of the request, 0 first.
+    pub rank: u8,
+}
 
 /// The choice of models of one request.
 #[derive(Debug, Clone, Copy)]
 pub struct Cascade;
 
 impl Cascade {
-    /// The place of the model that answers first, among `sizes` models.
-    pub fn first(_sizes: usize) -> usize {
+    /// The place of the model that answers first.
+    pub fn first() -> usize {
         0
     }
 
     /// The place of the model to ask instead; `None` if the answer is kept.
-    ///
-    /// `left` is what is left of the time in which an answer is on time, and
-    /// `sends_left` the number of servers that may still be asked.
-    pub fn instead(
-        place: usize,
-        sizes: usize,
-        confidence: Option<u8>,
-        left: Duration,
-        aim: Duration,
-        sends_left: u32,
-    ) -> Option<usize> {
-        let larger = place + 1 < sizes;
-        let low = confidence.is_some_and(|confidence| confidence < KEEP_FROM);
-        let time = left >= aim.mul_f64(LEFT_SHARE);
-        (larger && low && time && sends_left > 0).then_some(sizes - 1)
+    pub fn instead(doubt: &Doubt, pressure: &Pressure) -> Option<usize> {
+        let larger = doubt.place + 1 < doubt.sizes;
+        let limit = Self::keep_from(pressure, doubt.rank);
+        let low = doubt.confidence.is_some_and(|confidence| f64::from(confidence) < limit);
+        let time = doubt.left >= doubt.aim.mul_f64(LEFT_SHARE);
+        (larger && low && time && doubt.sends_left > 0).then_some(doubt.sizes - 1)
+    }
+
+    /// The confidence from which an answer is kept.
+    fn keep_from(pressure: &Pressure, rank: u8) -> f64 {
+        let level = pressure.level();
+        let rank = f64::from(rank.min(4)) - 1.0;
+        KEEP_IDLE + (KEEP_CREST - KEEP_IDLE) * level - RANK_POINTS * rank * level
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use admit::{Admission, Verdict};
 pub use budget::RetryBudget;
-pub use cascade::Cascade;
+pub use cascade::{Cascade, Doubt, Pressure};
 pub use catalog::{
     Account, Catalog, Engine, EngineModel, Limits, Repeat, Route, RouteTable, Service, Target,
 };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -193,7 +193,7 @@
 async fn serve<D: Dialect>(job: &Rc<Job<D>>) -> Result<Response<Reply>, Refusal> {
     let mut progress = Progress { resume_after: job.intake.resume_after, ..Progress::default() };
     if !job.route.sizes.is_empty() {
-        progress.model = Cascade::first(job.route.sizes.len());
+        progress.model = Cascade::first();
     }
     let until = job.gateway.instant(job.deadline);
     let answered = tokio::time::timeout_at(until, job.run(&mut progress)).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,8 +9,8 @@
 use config::Name;
 use conn::Pool;
 use dispatch::{
-    Catalog, Fleet, Mono, Order, RetryBudget, Rollout, RolloutState, ServerInfo, Sessions, Side,
-    Tally,
+    Catalog, Fleet, Mono, Order, Pressure, RetryBudget, Rollout, RolloutState, ServerInfo,
+    Sessions, Side, Tally,
 };
 use policy::Poison;
 use rand::{RngExt, SeedableRng};
@@ -107,6 +107,7 @@
                 setup.retry_window,
             )),
             poison: RefCell::new(Poison::new(DEATHS_TO_STOP)),
+            pressures: RefCell::default(),
             crashes: RefCell::default(),
             rollouts: RefCell::default(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(self.seed)),
@@ -170,6 +171,7 @@
     pub(crate) sessions: RefCell<Sessions>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) poison: RefCell<Poison>,
+    pub(crate) pressures: RefCell<HashMap<Name, Pressure>>,
     pub(crate) crashes: RefCell<VecDeque<(u64, Name)>>,
     pub(crate) rollouts: RefCell<HashMap<Name, Watched>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
@@ -402,6 +404,16 @@
         Some((side, watched.rollout.order.to.clone()))
     }
 
+    /// How pressed the servers of a service are.
+    pub(crate) fn pressure(&self, service: &Name) -> Pressure {
+        self.pressures.borrow().get(service).copied().unwrap_or_default()
+    }
+
+    /// Counts the time to an answer's first byte.
+    pub(crate) fn pressed(&self, service: &Name, first_byte: Duration, aim: Duration) {
+        self.pressures.borrow_mut().entry(service.clone()).or_default().answered(first_byte, aim);
+    }
+
     /// Counts an answer for the roll-out of its service.
     pub(crate) fn seen(
         &self,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use conn::Answer;
-use dispatch::{Cascade, Outcome};
+use dispatch::{Cascade, Doubt, Outcome};
 use error::Refusal;
 use http::Response;
 use tokio::sync::mpsc;
@@ -68,6 +68,7 @@
         flight: Flight<D>,
     ) -> Result<Option<Response<Reply>>, Refusal> {
         let Head { answer, facts, status, first_byte } = *head;
+        self.gateway.pressed(&self.service, first_byte, self.route.aim);
         if let Some(model) = self.larger_model(progress, facts.confidence) {
             self.trail(progress, &flight, "unsure");
             flight.end(Outcome::Sound, Some(first_byte));
@@ -103,11 +104,16 @@
     }
 
     fn larger_model(&self, progress: &Progress, confidence: Option<u8>) -> Option<usize> {
-        let now = self.gateway.now();
-        let left = (self.arrived + self.route.aim).saturating_sub(now);
-        let sends_left = self.route.attempts.saturating_sub(progress.runs);
-        let sizes = self.route.sizes.len();
-        Cascade::instead(progress.model, sizes, confidence, left, self.route.aim, sends_left)
+        let doubt = Doubt {
+            place: progress.model,
+            sizes: self.route.sizes.len(),
+            confidence,
+            left: (self.arrived + self.route.aim).saturating_sub(self.gateway.now()),
+            aim: self.route.aim,
+            sends_left: self.route.attempts.saturating_sub(progress.runs),
+            rank: self.route.rank,
+        };
+        Cascade::instead(&doubt, &self.gateway.pressure(&self.service))
     }
 }
 
