--- a/crates/dispatch/src/cascade.rs
+++ b/crates/dispatch/src/cascade.rs
@@ -7,13 +7,13 @@
 use std::time::Duration;
 
 /// The confidence from which a smaller model's answer is kept while servers are idle.
-const KEEP_IDLE: f64 = 60.0;
+const KEEP_IDLE: f64 = 53.0;
 /// The confidence from which it is kept at a crest.
-const KEEP_CREST: f64 = 22.0;
+const KEEP_CREST: f64 = 18.0;
 /// The pressure up to which servers count as idle.
-const IDLE_PRESSURE: f64 = 0.12;
+const IDLE_PRESSURE: f64 = 0.08;
 /// The pressure from which they are at a crest.
-const CREST_PRESSURE: f64 = 0.5;
+const CREST_PRESSURE: f64 = 0.40;
 /// How much less a rank counts, in points of confidence at a crest.
 const RANK_POINTS: f64 = 6.0;
 /// The share of the aim that must be left for a larger model to be asked.
