Weigh the crossing of failure domains at 60 ms

Load pattern: servers of all failure domains with reports that are stale. An instance sees its own sends at once and others' late; where most of a server's work comes from its own domain's instances, the picture is truer. Kept: homes over all domains, 6 ms a request, 60 ms to cross.

--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -24,7 +24,7 @@
 /// asked only if no other is left.
 const PAUSED_MS: f64 = 60_000.0;
 /// What it weighs to cross failure domains with a prompt, in ms.
-const CROSS_MS: f64 = 12.0;
+const CROSS_MS: f64 = 60.0;
 /// The share of a prompt's shared parts that its home is trusted to hold.
 const HOME_TRUST: f64 = 0.6;
 
