Homes of shared prompts in the own domain where it is large; tests and a soak

Load pattern: prompts that share thousands of tokens, read again at every server that has not seen them.

--- a/crates/dispatch/src/cascade.rs
+++ b/crates/dispatch/src/cascade.rs
@@ -18,6 +18,10 @@
 const RANK_POINTS: f64 = 6.0;
 /// The share of the aim that must be left for a larger model to be asked.
 const LEFT_SHARE: f64 = 0.35;
+/// How many times longer the smallest model works than a middling one.
+const SMALLEST_EFFORT: f64 = 0.4;
+/// How many times longer the largest model works than a middling one.
+const LARGEST_EFFORT: f64 = 2.5;
 /// The weight of the newest answer in the pressure.
 const NEWEST: f64 = 0.06;
 
@@ -70,6 +74,16 @@
         0
     }
 
+    /// How many times longer a model works than a middling one, by its place.
+    pub fn effort(place: usize, sizes: usize) -> f64 {
+        match (place, sizes) {
+            (_, 0 | 1) => 1.0,
+            (0, _) => SMALLEST_EFFORT,
+            (place, sizes) if place + 1 == sizes => LARGEST_EFFORT,
+            _ => 1.0,
+        }
+    }
+
     /// The place of the model to ask instead; `None` if the answer is kept.
     pub fn instead(doubt: &Doubt, pressure: &Pressure) -> Option<usize> {
         let larger = doubt.place + 1 < doubt.sizes;
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -25,6 +25,9 @@
 const PAUSED_MS: f64 = 60_000.0;
 /// What it weighs to cross failure domains with a prompt, in ms.
 const CROSS_MS: f64 = 60.0;
+/// Servers of the own domain from which on homes are chosen among them: fewer
+/// hold too little of what is shared.
+const LOCAL_HOMES: usize = 8;
 /// The share of a prompt's shared parts that its home is trusted to hold.
 const HOME_TRUST: f64 = 0.6;
 
@@ -50,6 +53,8 @@
     pub domain: &'a Name,
     /// The model; empty for plain services.
     pub model: &'a str,
+    /// How many times longer the model works than a middling one.
+    pub effort: f64,
     /// The prompt's parts in order.
     pub parts: &'a [Part],
     /// Servers that had the request already.
@@ -110,12 +115,15 @@
     Ok(Placement { server: server.info.id.clone(), crosses, estimate_ms })
 }
 
-/// The server on which all instances agree for the prompt's deepest shared part.
+/// The server on which the instances of a domain agree for the prompt's deepest shared part.
 fn home<'a>(candidates: &[&'a Server], ask: &Ask) -> Option<&'a Name> {
     let shared = ask.parts.len().checked_sub(2)?;
     let key = ask.parts[shared].id.to_le_bytes();
     let score = |id: &str| hash_parts(&[ask.model.as_bytes(), &key, id.as_bytes()]);
-    candidates.iter().map(|server| &server.info.id).max_by_key(|id| score(id))
+    let near = |server: &&&Server| server.info.domain == *ask.domain;
+    let local = candidates.iter().filter(|server| near(&server)).count() >= LOCAL_HOMES;
+    let homes = candidates.iter().filter(|server| !local || near(server));
+    homes.map(|server| &server.info.id).max_by_key(|id| score(id))
 }
 
 fn estimate(fleet: &Fleet, server: &Server, ask: &Ask, is_home: bool, now: Mono) -> f64 {
@@ -125,7 +133,7 @@
     let work = if ask.parts.is_empty() {
         load * SHARE_MS
     } else {
-        unread(fleet, server, ask, is_home, now) / READ_PER_MS + load * BATCH_MS
+        unread(fleet, server, ask, is_home, now) / READ_PER_MS * ask.effort + load * BATCH_MS
     };
     (work + queue) * server.slowdown(now)
 }
--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::Result;
 use bytes::Bytes;
@@ -61,6 +61,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// When it came.
+    pub at: Instant,
 }
 
 /// What came to the servers of a site.
@@ -141,8 +143,15 @@
         let line = format!("{} {}", request.method(), request.uri());
         let headers = request.headers().clone();
         let body = read(request).await?;
-        let arrival =
-            SiteArrival { server: own.clone(), id: id.clone(), ran: runs, line, headers, body };
+        let arrival = SiteArrival {
+            server: own.clone(),
+            id: id.clone(),
+            ran: runs,
+            line,
+            headers,
+            body,
+            at: Instant::now(),
+        };
         self.journal.lock().unwrap().push(arrival);
         if misdirected {
             return Some(reply(421, &own, &id, false, full("")));
@@ -165,7 +174,7 @@
                 Some(reply(200, &own, &id, true, BodyExt::boxed(body)))
             }
             fault if stream => Some(events(&own, &id, last, fault)),
-            _ => Some(reply(200, &own, &id, true, full(format!("done by {own}")))),
+            _ => Some(reply(200, &own, &id, true, full(format!("{id} done by {own}")))),
         }
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -280,6 +280,7 @@
             barred: barred.as_slice(),
             domain: &gateway.setup.domain,
             model,
+            effort: Cascade::effort(progress.model, self.route.sizes.len()),
             parts: &self.intake.parts,
             tried: &progress.tried,
         };
--- a/tests/runner/node.rs
+++ b/tests/runner/node.rs
@@ -130,7 +130,16 @@
 
 /// Sends one request on a new connection and reads the answer.
 pub async fn exchange(addr: SocketAddr, request: conn::Request) -> Result<Reply> {
-    let lease = conn::Pool::new().open(addr).await?;
+    exchange_on(&conn::Pool::new(), addr, request).await
+}
+
+/// Sends one request on a connection of a pool and reads the answer.
+pub async fn exchange_on(
+    pool: &conn::Pool,
+    addr: SocketAddr,
+    request: conn::Request,
+) -> Result<Reply> {
+    let lease = pool.lease(addr).await?;
     let Ok(mut answer) = lease.send(request).await else {
         return Ok(Reply {
             status: 0,
