Tell the instances of a domain what this one has at its servers; count prompts ahead

Load pattern: many small instances that each see a server's report seldom (on the grown site every 11 s) and long prompts that hold up short ones. Cause: an instance knew only its own sends; others' showed when an answer's load header came. Ruled out: reading reports of servers (priced as probes). Change: every 120 ms, while it changes, an instance tells those of its own domain how many requests it has at each server and how much they still have to have read; placing counts both. Tests: place_counts_what_peers_have, place_long_prompts_ahead_delay_short_ones, told_is_forgotten_when_a_peer_falls_silent.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -23,6 +23,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 /// How long a prompt part is taken to stay in a server's memory.
 const PART_KEPT: Duration = Duration::from_secs(20);
+/// How long what a peer says of its work counts.
+const TOLD_KEPT: Duration = Duration::from_millis(1_500);
 /// Prompt parts that are remembered at the most.
 const MOST_PARTS: usize = 60_000;
 
@@ -80,6 +82,9 @@
     pub info: ServerInfo,
     /// Own requests in flight.
     pub open: u32,
+    /// What own requests still have to have read, in tokens of a middling model.
+    pub reading: f64,
+    peers: Work,
     report: Option<(Report, Mono, u32)>,
     failures: f64,
     judged: Mono,
@@ -92,6 +97,8 @@
         Server {
             info,
             open: 0,
+            reading: 0.0,
+            peers: Work::default(),
             report: None,
             failures: 0.0,
             judged: Mono::ZERO,
@@ -103,9 +110,15 @@
     /// Requests that are likely to be there now, those of other instances included.
     pub fn load(&self, now: Mono) -> f64 {
         let own = f64::from(self.open);
-        let Some((report, at, own_then)) = self.report else { return own };
+        let told = f64::from(self.peers.open);
+        let Some((report, at, own_then)) = self.report else { return own + told };
         let others = f64::from((report.running + report.waiting).saturating_sub(own_then));
-        own + others * fade(now, at, REPORT_FADES)
+        own + told.max(others * fade(now, at, REPORT_FADES))
+    }
+
+    /// The prompt tokens ahead of a new request, in tokens of a middling model.
+    pub fn unread(&self) -> f64 {
+        self.reading + self.peers.reading
     }
 
     /// How much longer work takes there now.
@@ -150,9 +163,22 @@
     (-now.saturating_sub(since).as_secs_f64() / seconds).exp()
 }
 
+/// What one instance has at a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Work {
+    /// Requests in flight.
+    pub open: u32,
+    /// What they still have to have read, in tokens of a middling model.
+    pub reading: f64,
+}
+
+/// What a peer has at its servers, and when it said so.
+type Told = (Mono, Vec<(Name, Work)>);
+
 /// All servers that the instance knows.
 #[derive(Debug, Default)]
 pub struct Fleet {
+    told: HashMap<Name, Told>,
     servers: HashMap<Name, Server>,
     services: HashMap<Name, Vec<Name>>,
     parts: HashMap<u64, Mono>,
@@ -205,10 +231,40 @@
         }
     }
 
-    /// Counts a request that goes to a server.
-    pub fn sent(&mut self, id: &str) {
+    /// Counts a request that goes to a server and has so much to be read.
+    pub fn sent(&mut self, id: &str, reading: f64) {
         if let Some(server) = self.servers.get_mut(id) {
             server.open += 1;
+            server.reading += reading;
+        }
+    }
+
+    /// Notes that a request's prompt is read, or will not be.
+    pub fn read(&mut self, id: &str, reading: f64) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.reading = (server.reading - reading).max(0.0);
+        }
+    }
+
+    /// The own work at all servers that have any.
+    pub fn own_work(&self) -> Vec<(Name, Work)> {
+        let busy = self.servers.values().filter(|server| server.open > 0);
+        let work = |server: &Server| Work { open: server.open, reading: server.reading };
+        busy.map(|server| (server.info.id.clone(), work(server))).collect()
+    }
+
+    /// Takes what a peer says that it has at its servers.
+    pub fn told(&mut self, peer: &Name, work: Vec<(Name, Work)>, now: Mono) {
+        self.told.insert(peer.clone(), (now, work));
+        self.told.retain(|_, (at, _)| now.saturating_sub(*at) < TOLD_KEPT);
+        for server in self.servers.values_mut() {
+            server.peers = Work::default();
+        }
+        for (id, work) in self.told.values().flat_map(|(_, work)| work) {
+            if let Some(server) = self.servers.get_mut(id) {
+                server.peers.open += work.open;
+                server.peers.reading += work.reading;
+            }
         }
     }
 
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -14,6 +14,9 @@
 const READ_PER_MS: f64 = 100.0;
 /// How much each request in a batch delays the others' first token, in ms.
 const BATCH_MS: f64 = 6.0;
+/// The share of the prompts ahead that delays a request: chunks of several
+/// prompts are read by turns.
+const AHEAD_SHARE: f64 = 0.6;
 /// How much a request delays others at a plain server below its slots, in ms.
 const SHARE_MS: f64 = 0.5;
 /// What waiting for a slot costs for each request ahead, in ms.
@@ -70,6 +73,8 @@
     pub crosses: bool,
     /// The estimated time to the begin of the answer in ms, without failures.
     pub estimate_ms: f64,
+    /// What it will have to read of the prompt, in tokens of a middling model.
+    pub reading: f64,
 }
 
 /// Why a request can't be placed.
@@ -112,7 +117,9 @@
     }
     let (_, estimate_ms, server) = best.ok_or(NoPlace::AllTried)?;
     let crosses = server.info.domain != *ask.domain;
-    Ok(Placement { server: server.info.id.clone(), crosses, estimate_ms })
+    let is_home = home == Some(&server.info.id);
+    let reading = unread(fleet, server, ask, is_home, now) * ask.effort;
+    Ok(Placement { server: server.info.id.clone(), crosses, estimate_ms, reading })
 }
 
 /// The server on which the instances of a domain agree for the prompt's deepest shared part.
@@ -133,7 +140,9 @@
     let work = if ask.parts.is_empty() {
         load * SHARE_MS
     } else {
-        unread(fleet, server, ask, is_home, now) / READ_PER_MS * ask.effort + load * BATCH_MS
+        let ahead = AHEAD_SHARE * server.unread();
+        (unread(fleet, server, ask, is_home, now) * ask.effort + ahead) / READ_PER_MS
+            + load * BATCH_MS
     };
     (work + queue) * server.slowdown(now)
 }
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -87,7 +87,7 @@
     let mut fleet = fleet(4);
     for server in ["s0", "s1", "s3"] {
         for _ in 0..20 {
-            fleet.sent(server);
+            fleet.sent(server, 0.0);
         }
     }
     assert_eq!(chosen(&fleet, &Wanted::default(), 0.3, at(0)).as_deref(), Ok("s2"));
@@ -100,7 +100,7 @@
     fleet.reported("s0", idle, at(0));
     fleet.reported("s1", Report { running: 6, ..idle }, at(0));
     for _ in 0..40 {
-        fleet.sent("s0");
+        fleet.sent("s0", 0.0);
     }
     assert_eq!(chosen(&fleet, &Wanted::default(), 0.3, at(10)).as_deref(), Ok("s1"));
 }
@@ -109,8 +109,8 @@
 fn place_forgets_old_reports() {
     let mut fleet = fleet(2);
     fleet.reported("s0", Report { running: 60, waiting: 60, slowdown: 1.0 }, at(0));
-    fleet.sent("s1");
-    fleet.sent("s1");
+    fleet.sent("s1", 0.0);
+    fleet.sent("s1", 0.0);
     assert_eq!(chosen(&fleet, &Wanted::default(), 0.3, at(100)).as_deref(), Ok("s1"));
     assert_eq!(chosen(&fleet, &Wanted::default(), 0.3, at(30_000)).as_deref(), Ok("s0"));
 }
@@ -119,7 +119,7 @@
 fn place_avoids_failing_server() {
     let mut fleet = fleet(2);
     for _ in 0..4 {
-        fleet.sent("s0");
+        fleet.sent("s0", 0.0);
         fleet.ended("s0", Outcome::Failed, at(0));
     }
     for draw in 0..20 {
@@ -131,10 +131,10 @@
 #[test]
 fn place_tries_failing_server_again_later() {
     let mut fleet = fleet(2);
-    fleet.sent("s0");
+    fleet.sent("s0", 0.0);
     fleet.ended("s0", Outcome::Failed, at(0));
     for _ in 0..8 {
-        fleet.sent("s1");
+        fleet.sent("s1", 0.0);
     }
     assert_eq!(chosen(&fleet, &Wanted::default(), 0.5, at(30_000)).as_deref(), Ok("s0"));
 }
@@ -142,10 +142,10 @@
 #[test]
 fn place_unreachable_server_is_the_last_resort() {
     let mut fleet = fleet(2);
-    fleet.sent("s0");
+    fleet.sent("s0", 0.0);
     fleet.ended("s0", Outcome::Unreachable, at(0));
     for _ in 0..100 {
-        fleet.sent("s1");
+        fleet.sent("s1", 0.0);
     }
     assert_eq!(chosen(&fleet, &Wanted::default(), 0.5, at(10)).as_deref(), Ok("s1"));
     fleet.remove("s1");
@@ -169,7 +169,7 @@
     fleet.update(info("far", "z2", "v1"));
     fleet.update(info("near", "z1", "v1"));
     for _ in 0..30 {
-        fleet.sent("near");
+        fleet.sent("near", 0.0);
     }
     assert_eq!(chosen(&fleet, &Wanted::default(), 0.5, at(0)).as_deref(), Ok("far"));
 }
@@ -190,7 +190,7 @@
     let wanted = Wanted { parts: &prompt, ..Wanted::default() };
     let home = chosen(&fleet, &wanted, 0.1, at(0)).unwrap();
     for _ in 0..40 {
-        fleet.sent(&home);
+        fleet.sent(&home, 0.0);
     }
     assert_ne!(chosen(&fleet, &wanted, 0.1, at(0)), Ok(home));
 }
@@ -203,7 +203,7 @@
         let prompt = parts(&[(7, 2_000), (100 + number, 100)]);
         let wanted = Wanted { parts: &prompt, ..Wanted::default() };
         let server = chosen(&fleet, &wanted, number as f64 / 400.0, at(number)).unwrap();
-        fleet.sent(&server);
+        fleet.sent(&server, 0.0);
         fleet.holds(&server, "small", 7, at(number));
         *counts.entry(server).or_insert(0u32) += 1;
     }
@@ -211,10 +211,41 @@
     assert!(f64::from(most) <= 1.6 * 400.0 / 8.0, "{counts:?}");
 }
 
+#[test]
+fn place_counts_what_peers_have() {
+    let mut fleet = fleet(2);
+    let work = dispatch::Work { open: 30, reading: 0.0 };
+    fleet.told(&"peer".into(), vec![("s0".into(), work)], at(0));
+    assert_eq!(chosen(&fleet, &Wanted::default(), 0.3, at(10)).as_deref(), Ok("s1"));
+}
+
+#[test]
+fn place_long_prompts_ahead_delay_short_ones() {
+    let mut fleet = fleet(2);
+    let short = parts(&[(1, 100)]);
+    fleet.sent("s0", 50_000.0);
+    for _ in 0..5 {
+        fleet.sent("s1", 0.0);
+    }
+    let wanted = Wanted { parts: &short, ..Wanted::default() };
+    assert_eq!(chosen(&fleet, &wanted, 0.5, at(0)).as_deref(), Ok("s1"));
+    fleet.read("s0", 50_000.0);
+    assert_eq!(chosen(&fleet, &wanted, 0.5, at(0)).as_deref(), Ok("s0"));
+}
+
+#[test]
+fn told_is_forgotten_when_a_peer_falls_silent() {
+    let mut fleet = fleet(2);
+    let work = dispatch::Work { open: 30, reading: 0.0 };
+    fleet.told(&"gone".into(), vec![("s0".into(), work)], at(0));
+    fleet.told(&"peer".into(), Vec::new(), at(5_000));
+    assert_eq!(fleet.get("s0").unwrap().load(at(5_000)), 0.0);
+}
+
 #[test]
 fn update_new_incarnation_starts_blank() {
     let mut fleet = fleet(1);
-    fleet.sent("s0");
+    fleet.sent("s0", 0.0);
     fleet.update(dispatch::ServerInfo { born: 2, ..info("s0", "z1", "v1") });
     assert_eq!(fleet.get("s0").unwrap().open, 0);
 }
@@ -222,7 +253,7 @@
 #[test]
 fn update_same_incarnation_keeps_its_record() {
     let mut fleet = fleet(1);
-    fleet.sent("s0");
+    fleet.sent("s0", 0.0);
     fleet.update(dispatch::ServerInfo { leaving: true, ..info("s0", "z1", "v1") });
     assert_eq!(fleet.get("s0").unwrap().open, 1);
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -307,7 +307,8 @@
         if let Some(session) = self.intake.session {
             gateway.sessions.borrow_mut().note(session, &info.version, now);
         }
-        Ok(Target { server: info.id, version: info.version, addr: info.addr })
+        let reading = placement.reading;
+        Ok(Target { server: info.id, version: info.version, addr: info.addr, reading })
     }
 
     fn model<'a>(&'a self, progress: &Progress) -> &'a str {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,14 +4,14 @@
 //! made good by the next, since every one carries whole counts.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use anyhow::{Context, Result};
 use config::Name;
-use dispatch::{RolloutState, Sample, Tally, may_try};
+use dispatch::{RolloutState, Sample, Tally, Work, may_try};
 use policy::{hash_parts, hash_unit};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -20,6 +20,10 @@
 
 /// How often an instance tells its peers what changed.
 const TELL_EVERY: Duration = Duration::from_millis(400);
+/// How often an instance tells those of its domain what it has at servers.
+const TELL_LOADS_EVERY: Duration = Duration::from_millis(120);
+/// Unchanged loads are told every so many times, so that they stay known.
+const LOADS_ANYWAY: u32 = 5;
 /// The longest datagram, in bytes.
 const LONGEST: usize = 8 << 10;
 /// Sessions that are told at the most in one datagram.
@@ -33,13 +37,29 @@
 #[derive(Debug)]
 pub struct Peers {
     own: SocketAddr,
-    addrs: RefCell<BTreeSet<SocketAddr>>,
+    addrs: RefCell<BTreeMap<SocketAddr, Option<Name>>>,
     greetings: Cell<u32>,
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+enum Message {
+    /// What all instances are to know.
+    Digest(Digest),
+    /// What the instances of the own domain are to know of the servers' load.
+    Loads(Loads),
+}
+
+/// What an instance has at its servers: id, requests and tokens to be read.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+struct Loads {
+    instance: Name,
+    servers: Vec<(Name, u32, u32)>,
+}
+
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 struct Digest {
     instance: Name,
+    domain: Name,
     from: Option<SocketAddr>,
     rollouts: Vec<Seen>,
     poison: Vec<(u64, u32)>,
@@ -81,7 +101,9 @@
     /// Adds addresses and greets them, so that they know this instance too.
     pub fn add(&self, addrs: impl IntoIterator<Item = SocketAddr>) {
         let own = self.own;
-        self.addrs.borrow_mut().extend(addrs.into_iter().filter(|addr| *addr != own));
+        for addr in addrs.into_iter().filter(|addr| *addr != own) {
+            self.addrs.borrow_mut().entry(addr).or_default();
+        }
         self.greetings.set(GREETINGS);
     }
 
@@ -96,7 +118,7 @@
         let score =
             |addr: &SocketAddr| hash_parts(&[chore.as_bytes(), addr.to_string().as_bytes()]);
         let own = score(&self.own);
-        self.addrs.borrow().iter().filter(|addr| score(addr) < own).count()
+        self.addrs.borrow().keys().filter(|addr| score(addr) < own).count()
     }
 
     /// Tells and listens until the process ends.
@@ -104,6 +126,7 @@
         let socket = UdpSocket::bind(self.own).await;
         let socket = Rc::new(socket.with_context(|| format!("peers' address {}", self.own))?);
         tokio::task::spawn_local(self.clone().listen(gateway.clone(), socket.clone()));
+        tokio::task::spawn_local(self.clone().tell_loads(gateway.clone(), socket.clone()));
         tokio::task::spawn_local(self.tell(gateway, socket));
         Ok(())
     }
@@ -124,8 +147,8 @@
             if digest.same(&told) && !greets {
                 continue;
             }
-            let Ok(bytes) = serde_json::to_vec(&digest) else { continue };
-            let addrs = self.addrs.borrow().clone();
+            let Ok(bytes) = serde_json::to_vec(&Message::Digest(digest.clone())) else { continue };
+            let addrs: Vec<SocketAddr> = self.addrs.borrow().keys().copied().collect();
             for addr in addrs {
                 if let Err(error) = socket.send_to(&bytes, addr).await {
                     log::debug!("nothing told to {addr}: {error}");
@@ -135,13 +158,47 @@
         }
     }
 
+    /// Tells the instances of the own domain what this one has at its servers.
+    async fn tell_loads<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
+        let mut told = Loads::default();
+        let mut quiet = 0;
+        loop {
+            tokio::time::sleep(TELL_LOADS_EVERY).await;
+            let loads = gateway.own_loads();
+            quiet = if loads == told { quiet + 1 } else { 0 };
+            let unchanged = quiet % LOADS_ANYWAY != 0 || loads.servers.is_empty();
+            if quiet > 0 && unchanged {
+                continue;
+            }
+            let Ok(bytes) = serde_json::to_vec(&Message::Loads(loads.clone())) else { continue };
+            let addrs = self.near(&gateway.setup.domain);
+            for addr in addrs {
+                if let Err(error) = socket.send_to(&bytes, addr).await {
+                    log::debug!("no load told to {addr}: {error}");
+                }
+            }
+            told = loads;
+        }
+    }
+
+    /// The instances of a domain.
+    fn near(&self, domain: &Name) -> Vec<SocketAddr> {
+        let addrs = self.addrs.borrow();
+        let near = addrs.iter().filter(|(_, other)| other.as_ref() == Some(domain));
+        near.map(|(addr, _)| *addr).collect()
+    }
+
     async fn listen<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
         let mut buffer = vec![0; LONGEST];
         loop {
             match socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => match serde_json::from_slice::<Digest>(&buffer[..length]) {
-                    Ok(digest) => {
-                        self.addrs.borrow_mut().extend(digest.from);
+                Ok((length, from)) => match serde_json::from_slice::<Message>(&buffer[..length]) {
+                    Ok(Message::Loads(loads)) => gateway.loads(loads),
+                    Ok(Message::Digest(digest)) => {
+                        if let Some(addr) = digest.from {
+                            let domain = Some(digest.domain.clone());
+                            self.addrs.borrow_mut().insert(addr, domain);
+                        }
                         gateway.set_members(self.members());
                         gateway.told(digest);
                     }
@@ -175,6 +232,7 @@
         let untold = self.sessions.borrow_mut().take_untold();
         Digest {
             instance: self.setup.instance.clone(),
+            domain: self.setup.domain.clone(),
             from: Some(from),
             rollouts: seen.collect(),
             poison: poison.rows().take(MOST_POISON).collect(),
@@ -185,6 +243,27 @@
         }
     }
 
+    fn own_loads(&self) -> Loads {
+        let mut servers: Vec<(Name, u32, u32)> = self
+            .fleet
+            .borrow()
+            .own_work()
+            .into_iter()
+            .map(|(id, work)| (id, work.open, work.reading as u32))
+            .collect();
+        servers.sort();
+        Loads { instance: self.setup.instance.clone(), servers }
+    }
+
+    fn loads(&self, loads: Loads) {
+        let work = loads
+            .servers
+            .into_iter()
+            .map(|(id, open, reading)| (id, Work { open, reading: f64::from(reading) }));
+        let now = self.now();
+        self.fleet.borrow_mut().told(&loads.instance, work.collect(), now);
+    }
+
     fn told(&self, digest: Digest) {
         let now = self.now();
         for seen in &digest.rollouts {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -30,23 +30,31 @@
     pub service: Name,
     pub version: Name,
     pub since: Mono,
+    reading: f64,
     ended: bool,
 }
 
 impl<D> Flight<D> {
     /// Counts the request in.
-    pub fn begin(gateway: &Rc<Gateway<D>>, server: &Name, service: &Name, version: &Name) -> Self {
-        gateway.fleet.borrow_mut().sent(server);
+    pub fn begin(gateway: &Rc<Gateway<D>>, service: &Name, to: &Target) -> Self {
+        gateway.fleet.borrow_mut().sent(&to.server, to.reading);
         Flight {
             gateway: gateway.clone(),
-            server: server.clone(),
+            server: to.server.clone(),
             service: service.clone(),
-            version: version.clone(),
+            version: to.version.clone(),
+            reading: to.reading,
             since: gateway.now(),
             ended: false,
         }
     }
 
+    /// Notes that the prompt is read.
+    fn began(&mut self) {
+        let reading = std::mem::take(&mut self.reading);
+        self.gateway.fleet.borrow_mut().read(&self.server, reading);
+    }
+
     /// Counts the request out.
     pub fn end(mut self, outcome: Outcome, first_byte: Option<Duration>) {
         self.count(outcome);
@@ -58,6 +66,7 @@
 
     fn count(&mut self, outcome: Outcome) {
         self.ended = true;
+        self.began();
         let reason = match outcome {
             Outcome::Sound => "sound",
             Outcome::Failed => "failed",
@@ -102,7 +111,7 @@
     ///
     /// Returns with the flight where the server had the request.
     pub async fn send(&self, to: &Target, order: &Order<'_>) -> (Sent, Flight<D>) {
-        let flight = Flight::begin(&self.gateway, &to.server, &self.service, &to.version);
+        let mut flight = Flight::begin(&self.gateway, &self.service, to);
         let lease = match self.lease(to).await {
             Ok(lease) => lease,
             Err(error) => {
@@ -112,7 +121,10 @@
         };
         let sent = tokio::time::timeout(order.limit, self.write(lease, to, order)).await;
         match sent {
-            Ok(sent) => (sent, flight),
+            Ok(sent) => {
+                flight.began();
+                (sent, flight)
+            }
             Err(_) => {
                 self.gateway.pool.forget(to.addr);
                 (Sent::Lost("silent"), flight)
@@ -223,6 +235,8 @@
     pub server: Name,
     pub version: Name,
     pub addr: std::net::SocketAddr,
+    /// What the server will have to read of the prompt.
+    pub reading: f64,
 }
 
 /// What differs between the sends of one request.
