--- a/crates/dispatch/src/cascade.rs
+++ b/crates/dispatch/src/cascade.rs
@@ -90,7 +90,7 @@
         let limit = Self::keep_from(pressure, doubt.rank);
         let low = doubt.confidence.is_some_and(|confidence| f64::from(confidence) < limit);
         let time = doubt.left >= doubt.aim.mul_f64(LEFT_SHARE);
-        (larger && low && time && doubt.sends_left > 0).then_some(doubt.sizes - 1)
+        (larger && low && time && doubt.sends_left > 0).then(|| doubt.sizes - 1)
     }
 
     /// The confidence from which an answer is kept.
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -128,7 +128,7 @@
     let key = ask.parts[shared].id.to_le_bytes();
     let score = |id: &str| hash_parts(&[ask.model.as_bytes(), &key, id.as_bytes()]);
     let near = |server: &&&Server| server.info.domain == *ask.domain;
-    let local = candidates.iter().filter(|server| near(&server)).count() >= LOCAL_HOMES;
+    let local = candidates.iter().filter(|server| near(server)).count() >= LOCAL_HOMES;
     let homes = candidates.iter().filter(|server| !local || near(server));
     homes.map(|server| &server.info.id).max_by_key(|id| score(id))
 }
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -7,6 +7,7 @@
 use common::{at, info, parts};
 use dispatch::{Ask, Fleet, NoPlace, Outcome, Part, Report, place};
 
+#[derive(Default)]
 struct Wanted<'a> {
     parts: &'a [Part],
     tried: Vec<config::Name>,
@@ -14,12 +15,6 @@
     version: Option<config::Name>,
 }
 
-impl Default for Wanted<'_> {
-    fn default() -> Self {
-        Wanted { parts: &[], tried: Vec::new(), barred: Vec::new(), version: None }
-    }
-}
-
 fn chosen(fleet: &Fleet, wanted: &Wanted, draw: f64, now: Duration) -> Result<String, NoPlace> {
     let (service, domain) = ("desk".into(), "z1".into());
     let ask = Ask {
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -2,7 +2,7 @@
 //!
 //! A scenario is a list of lines:
 //!
-//! - `config N [drop=PREFIX] [without-key=KEY] [chat=SERVICE] [timeout=MS]`
+//! - `config N [sizes=none] [drop=PREFIX] [without-key=KEY] [chat=SERVICE] [timeout=MS]`
 //!   writes a configuration; `bad-config` writes bytes that can't be read.
 //! - `server ID SERVICE [version=V]`, `leave ID`, `gone ID`, `other ID NEW`,
 //!   `down ID`: servers and their entries; `bad-server ID` an unreadable entry.
@@ -165,7 +165,9 @@
         };
         let mut stream = route("/chat/", "streaming", chat, 3);
         stream["stream_resume"] = json!(true);
-        stream["sizes"] = json!(["small", "large"]);
+        if options.get("sizes") != Some("none") {
+            stream["sizes"] = json!(["small", "large"]);
+        }
         let mut routes = vec![
             stream,
             route("/once/", "non_idempotent", "desk", 1),
