Leave a server that went dark as soon as a new connection to it fails

Ruled out: TCP probes alone (3 s) and a shorter limit for the first byte, which would leave servers that are only slow. Change: after 350 ms without a byte, and at growing pauses, a new connection shows whether the server can be reached; if not, a repeatable request or a stream goes on elsewhere at once.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -74,6 +74,14 @@
         Ok(Lease { link, pool: self.clone(), reused: false, idle: Duration::ZERO })
     }
 
+    /// Opens a connection and keeps it for later use, which shows that the
+    /// address can be reached.
+    pub async fn probe(&self, addr: SocketAddr) -> io::Result<()> {
+        let lease = self.open(addr).await?;
+        self.give_back(lease.link, UNNAMED_IDLE);
+        Ok(())
+    }
+
     /// Drops all idle connections to an address.
     pub fn forget(&self, addr: SocketAddr) {
         self.idle.lock().unwrap().remove(&addr);
@@ -166,7 +174,7 @@
         match self.link.sender.try_send_request(request).await {
             Ok(response) => {
                 let (head, body) = response.into_parts();
-                Ok(Answer { head, body, lease: Some(self) })
+                Ok(Answer { head, body, addr: self.addr(), lease: Some(self) })
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::Unsent(Box::new(request))),
@@ -182,10 +190,16 @@
     /// Status and headers.
     pub head: http::response::Parts,
     body: Incoming,
+    addr: SocketAddr,
     lease: Option<Lease>,
 }
 
 impl Answer {
+    /// Where it comes from.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
     /// The next part of the body; `None` at its proper end.
     ///
     /// The connection goes back to the pool at the end and only then.
--- a/crates/fakes/src/http_server.rs
+++ b/crates/fakes/src/http_server.rs
@@ -35,6 +35,7 @@
 
 #[derive(Debug, Default)]
 struct State {
+    listening: CancellationToken,
     alive: CancellationToken,
     refusing: bool,
 }
@@ -47,6 +48,11 @@
         std::mem::take(&mut state.alive).cancel();
     }
 
+    /// Stops listening, while open connections go on.
+    pub fn deafen(&self) {
+        self.state.lock().unwrap().listening.cancel();
+    }
+
     /// Accepts connections again.
     pub fn admit(&self) {
         self.state.lock().unwrap().refusing = false;
@@ -66,11 +72,13 @@
 ) -> Result<SocketAddr> {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
     let addr = listener.local_addr()?;
+    let listening = connections.state.lock().unwrap().listening.clone();
     tokio::spawn(async move {
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 () = stop.cancelled() => return,
+                () = listening.cancelled() => return,
             };
             let Ok((stream, _)) = accepted else { continue };
             let Some(alive) = connections.current() else { continue };
--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -119,6 +119,12 @@
         *self.state.id.lock().unwrap() = id.to_owned();
     }
 
+    /// Stops listening and answers nothing more, while connections stay open.
+    pub fn dark(&self) {
+        self.always(Some(SiteFault::Hang));
+        self.connections.deafen();
+    }
+
     /// Breaks all connections and stops listening.
     pub fn down(&self) {
         self.connections.break_all();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -241,6 +241,7 @@
             rank: self.rank(),
             resume_after: progress.resume_after,
             limit,
+            may_leave: repeats,
         };
         progress.sends += 1;
         progress.tried.push(target.server.clone());
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -23,6 +23,9 @@
 /// A kept connection that breaks so soon was closed by an idle server.
 const STALE_WITHIN: Duration = Duration::from_millis(15);
 
+/// A server from which nothing comes for so long is tried by a new connection.
+const DARK_AFTER: Duration = Duration::from_millis(350);
+
 /// A request in flight at a server; counts as abandoned unless it is ended.
 pub(crate) struct Flight<D> {
     gateway: Rc<Gateway<D>>,
@@ -119,17 +122,17 @@
                 return (Sent::NotRun("unreachable"), flight);
             }
         };
-        let sent = tokio::time::timeout(order.limit, self.write(lease, to, order)).await;
+        let writing = tokio::time::timeout(order.limit, self.write(lease, to, order));
+        let sent = tokio::select! {
+            biased;
+            sent = writing => sent.unwrap_or(Sent::Lost("silent")),
+            () = self.gateway.dark(to.addr), if order.may_leave => Sent::Lost("dark"),
+        };
         match sent {
-            Ok(sent) => {
-                flight.began();
-                (sent, flight)
-            }
-            Err(_) => {
-                self.gateway.pool.forget(to.addr);
-                (Sent::Lost("silent"), flight)
-            }
+            Sent::Lost("silent" | "dark") => self.gateway.pool.forget(to.addr),
+            _ => flight.began(),
         }
+        (sent, flight)
     }
 
     /// A connection: one that was used just now, or a new one, where the request
@@ -229,6 +232,23 @@
     }
 }
 
+impl<D> Gateway<D> {
+    /// Returns when a server from which nothing comes can't be connected to.
+    ///
+    /// An open connection to a server that lost its power or its link shows
+    /// nothing; a new one does.
+    pub(crate) async fn dark(&self, addr: std::net::SocketAddr) {
+        let mut pause = DARK_AFTER;
+        loop {
+            tokio::time::sleep(pause).await;
+            if self.pool.probe(addr).await.is_err() {
+                return;
+            }
+            pause *= 2;
+        }
+    }
+}
+
 /// Where a send goes.
 #[derive(Debug, Clone)]
 pub(crate) struct Target {
@@ -246,4 +266,6 @@
     pub rank: Option<u8>,
     pub resume_after: Option<u64>,
     pub limit: Duration,
+    /// Whether another server may be asked if this one goes dark.
+    pub may_leave: bool,
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -1,5 +1,6 @@
 //! Passing a stream of events on, and going on with it at another server.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 
 use crate::events::{Event, EventReader};
 use crate::exchange::{Job, Progress};
+use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::reply::{Cut, Reply};
 use crate::send::{Flight, Head, Sent};
@@ -24,6 +26,8 @@
 
 /// The events of one run.
 struct Run<D> {
+    gateway: Rc<Gateway<D>>,
+    addr: SocketAddr,
     answer: Option<Answer>,
     reader: EventReader,
     flight: Flight<D>,
@@ -36,7 +40,7 @@
     Broken(&'static str),
 }
 
-impl<D> Run<D> {
+impl<D: 'static> Run<D> {
     /// The next whole event, or how the run ended.
     async fn next(&mut self) -> Result<Event, RunEnd> {
         loop {
@@ -44,7 +48,13 @@
                 return Ok(event);
             }
             let Some(answer) = &mut self.answer else { return Err(RunEnd::Broken("closed")) };
-            match tokio::time::timeout(LONGEST_GAP, answer.chunk()).await {
+            let waiting = tokio::time::timeout(LONGEST_GAP, answer.chunk());
+            let chunk = tokio::select! {
+                biased;
+                chunk = waiting => chunk,
+                () = self.gateway.dark(self.addr) => return Err(RunEnd::Broken("dark")),
+            };
+            match chunk {
                 Ok(Ok(Some(bytes))) => {
                     if !self.reader.push(&bytes) {
                         return Err(RunEnd::Broken("long_event"));
@@ -78,8 +88,7 @@
             return Ok(None);
         }
         let headers = answer.head.headers.clone();
-        let mut run =
-            Run { answer: Some(answer), reader: EventReader::default(), flight, first_byte };
+        let mut run = self.begin(answer, flight, first_byte);
         let first = match run.next().await {
             Ok(event) => Some(event),
             Err(RunEnd::Whole) => None,
@@ -103,6 +112,13 @@
         Ok(Some(response))
     }
 
+    /// Begins to read the events of an answer.
+    fn begin(&self, answer: Answer, flight: Flight<D>, first_byte: Duration) -> Run<D> {
+        let (gateway, addr) = (self.gateway.clone(), answer.addr());
+        let reader = EventReader::default();
+        Run { gateway, addr, answer: Some(answer), reader, flight, first_byte }
+    }
+
     fn larger_model(&self, progress: &Progress, confidence: Option<u8>) -> Option<usize> {
         let doubt = Doubt {
             place: progress.model,
@@ -210,12 +226,7 @@
                 progress.runs += 1;
                 Metrics::count(&job.gateway.metrics.repeats, "resumed");
                 let Head { answer, first_byte, .. } = *head;
-                let next = Run {
-                    answer: Some(answer),
-                    reader: EventReader::default(),
-                    flight,
-                    first_byte,
-                };
+                let next = job.begin(answer, flight, first_byte);
                 let broken = std::mem::replace(run, next);
                 broken.flight.end(Outcome::Failed, None);
                 return Ok(());
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -5,7 +5,7 @@
 //! - `config N [sizes=none] [drop=PREFIX] [without-key=KEY] [chat=SERVICE] [timeout=MS]`
 //!   writes a configuration; `bad-config` writes bytes that can't be read.
 //! - `server ID SERVICE [version=V]`, `leave ID`, `gone ID`, `other ID NEW`,
-//!   `down ID`: servers and their entries; `bad-server ID` an unreadable entry.
+//!   `down ID`, `dark ID`: servers and their entries; `bad-server ID` an unreadable entry.
 //! - `fault ID KIND [N]` for the next request, `always ID KIND|none` for all.
 //! - `node ID [grace=S]`, `ready ID`, `not-ready ID`, `signal ID NAME`,
 //!   `ended ID CODE`, `metric ID NAME VALUE` wait for a process.
@@ -103,6 +103,7 @@
             ["back", id] => self.list(id)?,
             ["other", id, new] => self.find(id)?.become_other(new),
             ["down", id] => self.find(id)?.down(),
+            ["dark", id] => self.find(id)?.dark(),
             ["fault", id, kind, ..] => self.find(id)?.fault(fault(kind, words.get(3))?),
             ["always", id, "none"] => self.find(id)?.always(None),
             ["always", id, kind, ..] => self.find(id)?.always(Some(fault(kind, words.get(3))?)),
