--- /dev/null
+++ b/crates/entry/tests/interface.rs
@@ -0,0 +1,206 @@
+//! The product's own interface: three instances on stand-ins, with the example routes.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use bytes::Bytes;
+use entry::{Entry, SettingsBuilder};
+use fakes::{DOMAINS, Deployment};
+use http_body_util::Full;
+use publish::Publication;
+use tokio_util::sync::CancellationToken;
+
+const CHAT: &str = "/v1/chat/completions";
+const BOOKING: &str = "/services/booking/bookings";
+const VISIT: &str = r#"{"visit":"8 July","blades":12}"#;
+
+struct Site {
+    deployment: Deployment,
+    entries: Vec<Entry>,
+    _stop: tokio_util::sync::DropGuard,
+}
+
+struct Reply {
+    status: u16,
+    headers: http::HeaderMap,
+    body: String,
+}
+
+impl Site {
+    async fn start() -> Site {
+        let stop = CancellationToken::new();
+        let deployment = Deployment::start(Duration::from_millis(1), stop.clone()).await.unwrap();
+        let examples = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples"));
+        let collected = publish::collect(std::slice::from_ref(&examples));
+        let collected = collected.unwrap_or_else(|faults| panic!("{} faults", faults.len()));
+        let publication = Publication {
+            operator: "test".into(),
+            id: "test-1".into(),
+            pieces: collected.pieces,
+            removed: Vec::new(),
+            base: None,
+            renew: Vec::new(),
+        };
+        let platform = deployment.platform.addr();
+        publish::publish(&store::HttpPlatform::new(platform), &publication).await.unwrap();
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let mut entries = Vec::new();
+        for (number, domain) in DOMAINS.iter().enumerate() {
+            let id = format!("entry-{number}");
+            let token = "a-token-for-the-tests".to_owned();
+            let settings =
+                SettingsBuilder::new(id.as_str().into(), (*domain).into(), platform, token)
+                    .listen(any, any, any)
+                    .drain(Duration::from_secs(5))
+                    .build();
+            let entry = Entry::start(settings).unwrap();
+            deployment.list_entry(&id, entry.peers(), domain);
+            entries.push(entry);
+        }
+        let site = Site { deployment, entries, _stop: stop.drop_guard() };
+        for place in 0..DOMAINS.len() {
+            while site.send(place, "GET", "/ready", "", &[], "").await.status != 200 {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        }
+        site
+    }
+
+    async fn send(
+        &self,
+        place: usize,
+        method: &str,
+        path: &str,
+        key: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Reply {
+        let addr = self.entries[place].callers();
+        let mut request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", addr.to_string())
+            .header("content-type", "application/json");
+        if !key.is_empty() {
+            request = request.header("authorization", format!("Bearer {key}"));
+        }
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Full::new(Bytes::from(body.to_owned()))).unwrap();
+        let lease = conn::Pool::new().open(addr).await.unwrap();
+        let answer = lease.send(request).await.unwrap();
+        let (status, headers) = (answer.head.status.as_u16(), answer.head.headers.clone());
+        let body = answer.collect(1 << 20).await.unwrap().unwrap();
+        Reply { status, headers, body: String::from_utf8_lossy(&body).into_owned() }
+    }
+
+    async fn chat(&self, place: usize, key: &str, body: &str) -> Reply {
+        self.send(place, "POST", CHAT, key, &[], body).await
+    }
+
+    async fn book(&self, place: usize, idempotency: &str, body: &str) -> Reply {
+        let headers = [("idempotency-key", idempotency)];
+        self.send(place, "POST", BOOKING, "key-bento", &headers, body).await
+    }
+
+    fn bookings(&self) -> usize {
+        let entries = self.deployment.journal.entries();
+        entries.iter().filter(|entry| entry.server.starts_with("booking")).count()
+    }
+}
+
+fn chat_body(model: &str, stream: bool) -> String {
+    format!(
+        r#"{{"model":"{model}","stream":{stream},"max_tokens":4,"messages":[{{"role":"user","content":"a dull knife"}}]}}"#
+    )
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_is_answered_at_every_instance() {
+    let site = Site::start().await;
+    for place in 0..3 {
+        let reply = site.chat(place, "key-bento", &chat_body("tag", false)).await;
+        assert_eq!(reply.status, 200, "{}", reply.body);
+        assert!(reply.body.contains("\"finish_reason\":\"stop\""), "{}", reply.body);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_stream_ends_with_its_marker() {
+    let site = Site::start().await;
+    let reply = site.chat(0, "key-bento", &chat_body("tag", true)).await;
+    assert_eq!(reply.status, 200);
+    assert!(reply.body.trim_end().ends_with("data: [DONE]"), "{}", reply.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_unknown_key_is_401() {
+    let site = Site::start().await;
+    assert_eq!(site.chat(0, "key-nobody", &chat_body("tag", false)).await.status, 401);
+    assert!(site.deployment.journal.entries().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_unknown_model_is_404() {
+    let site = Site::start().await;
+    assert_eq!(site.chat(0, "key-bento", &chat_body("nothing", false)).await.status, 404);
+    assert!(site.deployment.journal.entries().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn chat_odd_bodies_are_400() {
+    let site = Site::start().await;
+    for body in ["", "{", "[]", "{\"model\":7}", "\u{0}"] {
+        let reply = site.chat(0, "key-bento", body).await;
+        assert_eq!(reply.status, 400, "{body:?}: {}", reply.body);
+        assert!(reply.body.contains("\"not_run\":true"), "{}", reply.body);
+    }
+    assert!(site.deployment.journal.entries().is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_repeated_at_another_instance_runs_once() {
+    let site = Site::start().await;
+    let first = site.book(0, "visit-1", VISIT).await;
+    let second = site.book(1, "visit-1", VISIT).await;
+    assert_eq!((first.status, second.status), (201, 201), "{}", second.body);
+    assert_eq!(first.body, second.body);
+    assert!(second.headers.contains_key("x-replayed"));
+    assert_eq!(site.bookings(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_key_with_another_body_is_422() {
+    let site = Site::start().await;
+    assert_eq!(site.book(0, "visit-1", VISIT).await.status, 201);
+    assert_eq!(site.book(1, "visit-1", r#"{"visit":"9 July"}"#).await.status, 422);
+    assert_eq!(site.bookings(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_without_key_is_400() {
+    let site = Site::start().await;
+    let reply = site.send(0, "POST", BOOKING, "key-bento", &[], VISIT).await;
+    assert_eq!(reply.status, 400);
+    assert_eq!(site.bookings(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_with_store_out_is_503_and_has_not_run() {
+    let site = Site::start().await;
+    site.deployment.platform.set_faults(|faults| faults.out = true);
+    let reply = site.book(0, "visit-1", VISIT).await;
+    assert_eq!(reply.status, 503, "{}", reply.body);
+    assert!(reply.body.contains("\"not_run\":true"), "{}", reply.body);
+    assert_eq!(site.bookings(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn models_are_listed_for_the_account() {
+    let site = Site::start().await;
+    let reply = site.send(0, "GET", "/v1/models", "key-bento", &[], "").await;
+    assert_eq!(reply.status, 200);
+    assert!(reply.body.contains("\"tag\""), "{}", reply.body);
+}
