--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,14 +3,14 @@
 //! Every function takes the time and an explicit picture of routes and
 //! servers. What each module decides, and the load it answers:
 //!
-//! - [`admit`](Admission): which requests are turned away, and until when
-//!   (more work than the servers can finish in time);
-//! - [`place`](place): which server gets a request (uneven servers, stale
-//!   reports, prompts that share parts);
-//! - [`cascade`](Cascade): which model answers first, and when a larger one
-//!   answers instead;
-//! - [`budget`](RetryBudget): whether a request may be sent again;
-//! - [`rollout`](Rollout): which version of a service gets a request.
+//! - [`Admission`]: which requests are turned away, and until when (more work
+//!   than the servers can finish in time);
+//! - [`place()`]: which server gets a request (uneven servers, stale reports,
+//!   prompts that share parts);
+//! - [`Cascade`]: which model answers first, and when a larger one answers
+//!   instead;
+//! - [`RetryBudget`]: whether a request may be sent again;
+//! - [`Rollout`]: which version of a service gets a request.
 
 mod admit;
 mod budget;
