Refuse at once what no server can be reached for

Ruled out: too many servers down; there was one, and each try was to it. Change: a server that could not be reached for a request is not tried for it again; when none is left, it is refused with a time to come back.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -55,6 +55,8 @@
 pub(crate) struct Progress {
     /// Servers that had it.
     pub tried: Vec<Name>,
+    /// Servers that could not be reached.
+    pub unreached: Vec<Name>,
     /// Sends that reached a server.
     pub sends: u32,
     /// Sends that may have run.
@@ -289,7 +291,7 @@
         let draw = gateway.draw();
         let mut placement = place(&fleet, &ask, draw, now);
         if placement == Err(NoPlace::AllTried) && self.route.repeatable() {
-            ask.tried = &[];
+            ask.tried = &progress.unreached;
             placement = place(&fleet, &ask, draw, now);
         }
         let placement = placement.map_err(|why| match why {
@@ -330,6 +332,7 @@
         };
         if outcome == Outcome::Unreachable {
             progress.sends -= 1;
+            progress.unreached.push(flight.server.clone());
         }
         flight.end(outcome, None);
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -84,7 +84,7 @@
             flight.end(Outcome::Sound, Some(first_byte));
             Metrics::count(&self.gateway.metrics.repeats, "unsure");
             progress.model = model;
-            progress.tried.clear();
+            progress.tried.clone_from(&progress.unreached);
             return Ok(None);
         }
         let headers = answer.head.headers.clone();
