Prove that a log which nobody reads delays no request

Ruled out: a test with short lines, which never fills the pipe (tried, it passed without showing anything).

--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -7,11 +7,12 @@
 //! - `server ID SERVICE [version=V]`, `leave ID`, `gone ID`, `other ID NEW`,
 //!   `down ID`, `dark ID`: servers and their entries; `bad-server ID` an unreadable entry.
 //! - `fault ID KIND [N]` for the next request, `always ID KIND|none` for all.
-//! - `node ID [grace=S]`, `ready ID`, `not-ready ID`, `signal ID NAME`,
+//! - `node ID [grace=S] [unread-log]`, `ready ID`, `not-ready ID`, `signal ID NAME`,
 //!   `ended ID CODE`, `metric ID NAME VALUE` wait for a process.
 //! - `store out|silent|back|compact|break`, `order SERVICE VERSION SECONDS`,
 //!   `state SERVICE STATE` waits for a roll-out's state.
 //! - `within-order MS` checks the time since the last order.
+//! - `many NODE PATH COUNT` sends requests of which each must be answered.
 //! - `load NODE PATH SERVICE STATE` sends requests until a roll-out has a state.
 //! - `ask NODE PATH ID [key=K] [deadline=MS] [session=S] [last=N] [method=M]
 //!   [body=B] [header=NAME:VALUE]` sends a request; `start` does not wait and
@@ -23,6 +24,7 @@
 
 use std::collections::HashMap;
 use std::path::Path;
+use std::process::Stdio;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -109,8 +111,12 @@
             ["always", id, kind, ..] => self.find(id)?.always(Some(fault(kind, words.get(3))?)),
             ["node", id, ..] => {
                 let grace = options.get("grace").unwrap_or("8").parse()?;
-                self.nodes.insert(id.into(), Node::start(id, self.store.addr(), grace)?);
+                // A pipe that nobody reads fills up.
+                let log = if options.has("unread-log") { Stdio::piped() } else { Stdio::null() };
+                let node = Node::start_with(id, self.store.addr(), grace, log)?;
+                self.nodes.insert(id.into(), node);
             }
+            ["many", node, path, count] => self.many(node, path, count.parse()?).await?,
             ["ready", id] => self.node(id)?.until_ready(true).await?,
             ["not-ready", id] => self.node(id)?.until_ready(false).await?,
             ["signal", id, name] => self.node(id)?.signal(name)?,
@@ -265,6 +271,18 @@
         Ok(())
     }
 
+    /// Sends requests one after the other; each must be answered.
+    async fn many(&mut self, node: &str, path: &str, count: usize) -> Result<()> {
+        for number in 0..count {
+            // A long id makes long lines, which fill the pipe of a log soon.
+            let id = format!("many-{number}-{}", "x".repeat(4_000));
+            self.ask(node, path, &id, &Options(&[]))?;
+            self.answer(&id).await?;
+            self.expect(200, &Options(&["whole"]))?;
+        }
+        Ok(())
+    }
+
     fn ask(&mut self, node: &str, path: &str, id: &str, options: &Options) -> Result<()> {
         let addr = self.node(node)?.callers;
         let method =
