--- a/tests/runner/node.rs
+++ b/tests/runner/node.rs
@@ -37,13 +37,8 @@
 }
 
 impl Node {
-    /// Starts a process.
-    pub fn start(name: &str, store: SocketAddr, grace_s: f64) -> Result<Node> {
-        Node::start_with(name, store, grace_s, Stdio::null())
-    }
-
     /// Starts a process whose log goes to `log`.
-    pub fn start_with(name: &str, store: SocketAddr, grace_s: f64, log: Stdio) -> Result<Node> {
+    pub fn start(name: &str, store: SocketAddr, grace_s: f64, log: Stdio) -> Result<Node> {
         let (callers, status, peers) = (free_port()?, free_port()?, free_port()?);
         let settings = json!({
             "node_name": name,
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -113,7 +113,7 @@
                 let grace = options.get("grace").unwrap_or("8").parse()?;
                 // A pipe that nobody reads fills up.
                 let log = if options.has("unread-log") { Stdio::piped() } else { Stdio::null() };
-                let node = Node::start_with(id, self.store.addr(), grace, log)?;
+                let node = Node::start(id, self.store.addr(), grace, log)?;
                 self.nodes.insert(id.into(), node);
             }
             ["many", node, path, count] => self.many(node, path, count.parse()?).await?,
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::process::Stdio;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -89,7 +90,8 @@
 
     /// Starts a process in place of another; returns once it is ready.
     pub async fn start_node(&self, place: usize) -> Result<()> {
-        let node = Node::start(&format!("n{place}"), self.store_relay.addr(), GRACE_S)?;
+        let node =
+            Node::start(&format!("n{place}"), self.store_relay.addr(), GRACE_S, Stdio::null())?;
         node.until_ready(true).await?;
         self.addrs.lock().unwrap()[place] = node.callers;
         self.nodes.lock().await[place] = Some(node);
