Ask whether a request may repeat without sealing its proof; one way to send to peers

Read as a newcomer: may_repeat answered a question by building a refusal, which seals the proof against later writes; it is a plain question now, and the refusal is made where it is sent. The two loops that sent datagrams are one, and a message that can't be written is logged. Gone: Placement::crosses, which nobody read, and a guard around a choice that is the same without it. The share of the aim that a repeat needs has a name. Behaviour stays as it is.

--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -69,8 +69,6 @@
 pub struct Placement {
     /// The server.
     pub server: Name,
-    /// Its failure domain differs from the instance's.
-    pub crosses: bool,
     /// The estimated time to the begin of the answer in ms, without failures.
     pub estimate_ms: f64,
     /// What it will have to read of the prompt, in tokens of a middling model.
@@ -116,10 +114,9 @@
         }
     }
     let (_, estimate_ms, server) = best.ok_or(NoPlace::AllTried)?;
-    let crosses = server.info.domain != *ask.domain;
     let is_home = home == Some(&server.info.id);
     let reading = unread(fleet, server, ask, is_home, now) * ask.effort;
-    Ok(Placement { server: server.info.id.clone(), crosses, estimate_ms, reading })
+    Ok(Placement { server: server.info.id.clone(), estimate_ms, reading })
 }
 
 /// The server on which the instances of a domain agree for the prompt's deepest shared part.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -32,6 +32,9 @@
 const SILENT_AIMS: f64 = 2.5;
 /// The shortest time after which a silent server is left.
 const LEAST_SILENT: Duration = Duration::from_millis(600);
+/// The share of the aim that must be left for another server to be asked: about
+/// the time of a usual answer.
+const REPEAT_SHARE: f64 = 0.3;
 /// How soon a request may come back that a passing fault kept from running.
 const SOON: Duration = Duration::from_millis(250);
 
@@ -193,10 +196,11 @@
 }
 
 async fn serve<D: Dialect>(job: &Rc<Job<D>>) -> Result<Response<Reply>, Refusal> {
-    let mut progress = Progress { resume_after: job.intake.resume_after, ..Progress::default() };
-    if !job.route.sizes.is_empty() {
-        progress.model = Cascade::first();
-    }
+    let mut progress = Progress {
+        model: Cascade::first(),
+        resume_after: job.intake.resume_after,
+        ..Progress::default()
+    };
     let until = job.gateway.instant(job.deadline);
     let answered = tokio::time::timeout_at(until, job.run(&mut progress)).await;
     let answered = answered.unwrap_or_else(|_| {
@@ -217,10 +221,11 @@
                 Sent::NotRun(why) => self.not_run(progress, flight, why),
                 Sent::Lost(why) => {
                     self.lost(progress, flight, why);
-                    if why == "silent" && self.may_repeat(progress).is_err() {
-                        return Err(self.refuse(Kind::Timeout, None));
+                    if !self.may_repeat(progress) {
+                        let silent = why == "silent";
+                        let kind = if silent { Kind::Timeout } else { Kind::BackendFailed };
+                        return Err(self.refuse(kind, None));
                     }
-                    self.may_repeat(progress)?;
                 }
                 Sent::Head(head) => {
                     if let Some(response) = self.answered(progress, head, flight).await? {
@@ -350,9 +355,8 @@
     }
 
     /// Whether a request that may have run may be sent again.
-    fn may_repeat(&self, progress: &Progress) -> Result<(), Refusal> {
-        let allowed = self.route.repeatable() && progress.runs < self.route.attempts;
-        if allowed { Ok(()) } else { Err(self.refuse(Kind::BackendFailed, None)) }
+    fn may_repeat(&self, progress: &Progress) -> bool {
+        self.route.repeatable() && progress.runs < self.route.attempts
     }
 
     /// Takes the head of an answer; `None` if the request is to be sent again.
@@ -373,7 +377,10 @@
             Ok(None) | Err(_) => {
                 progress.runs -= 1;
                 self.lost(progress, flight, "cut");
-                return self.may_repeat(progress).map(|()| None);
+                if self.may_repeat(progress) {
+                    return Ok(None);
+                }
+                return Err(self.refuse(Kind::BackendFailed, None));
             }
         };
         self.gateway.poison.borrow_mut().answered(self.fingerprint);
@@ -381,7 +388,7 @@
         self.trail(progress, &flight, if failed { "failed" } else { "answered" });
         let outcome = if failed { Outcome::Failed } else { Outcome::Sound };
         flight.end(outcome, Some(first_byte));
-        if failed && self.may_repeat(progress).is_ok() && self.time_to_repeat() {
+        if failed && self.may_repeat(progress) && self.time_to_repeat() {
             Metrics::count(&self.gateway.metrics.repeats, "failed");
             return Ok(None);
         }
@@ -394,12 +401,12 @@
     /// Whether enough time is left for another server to answer.
     pub fn time_to_repeat(&self) -> bool {
         let left = self.deadline.saturating_sub(self.gateway.now());
-        left > self.route.aim.mul_f64(0.3)
+        left > self.route.aim.mul_f64(REPEAT_SHARE)
     }
 
     /// Whether the caller's stream may go on at another server.
     pub fn may_resume(&self, progress: &Progress) -> bool {
-        self.route.repeat == Repeat::Resumable && self.may_repeat(progress).is_ok()
+        self.route.repeat == Repeat::Resumable && self.may_repeat(progress)
     }
 
     pub fn trail(&self, progress: &mut Progress, flight: &Flight<D>, how: &'static str) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -147,13 +147,8 @@
             if digest.same(&told) && !greets {
                 continue;
             }
-            let Ok(bytes) = serde_json::to_vec(&Message::Digest(digest.clone())) else { continue };
             let addrs: Vec<SocketAddr> = self.addrs.borrow().keys().copied().collect();
-            for addr in addrs {
-                if let Err(error) = socket.send_to(&bytes, addr).await {
-                    log::debug!("nothing told to {addr}: {error}");
-                }
-            }
+            send(&socket, &Message::Digest(digest.clone()), &addrs).await;
             told = digest;
         }
     }
@@ -170,13 +165,8 @@
             if quiet > 0 && unchanged {
                 continue;
             }
-            let Ok(bytes) = serde_json::to_vec(&Message::Loads(loads.clone())) else { continue };
             let addrs = self.near(&gateway.setup.domain);
-            for addr in addrs {
-                if let Err(error) = socket.send_to(&bytes, addr).await {
-                    log::debug!("no load told to {addr}: {error}");
-                }
-            }
+            send(&socket, &Message::Loads(loads.clone()), &addrs).await;
             told = loads;
         }
     }
@@ -213,6 +203,19 @@
     }
 }
 
+/// Sends a message to instances; one that can't be sent is made good by the next.
+async fn send(socket: &UdpSocket, message: &Message, addrs: &[SocketAddr]) {
+    let bytes = match serde_json::to_vec(message) {
+        Ok(bytes) => bytes,
+        Err(error) => return log::warn!("a message to peers can't be written: {error}"),
+    };
+    for addr in addrs {
+        if let Err(error) = socket.send_to(&bytes, addr).await {
+            log::debug!("nothing told to {addr}: {error}");
+        }
+    }
+}
+
 impl<D> Gateway<D> {
     fn digest(&self, from: SocketAddr) -> Digest {
         let rollouts = self.rollouts.borrow();
