One instance reads the store for its failure domain

Change: crates/dispatch/reading decides who reads: the first in the order by hash, the next one 100 ms later each when word of it is missing for 1.15 s. crates/gateway/follow, which was the platform folder's, follows tables by feed or by words of the reader; words chain revisions, so that a lost one is found by the next. Messages are deflated and long ones are paced. One follower a process looks whether the store is back. Domains of up to three instances keep feeds of their own.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,7 +10,8 @@
 //! - [`Cascade`]: which model answers first, and when a larger one answers
 //!   instead;
 //! - [`RetryBudget`]: whether a request may be sent again;
-//! - [`Rollout`]: which version of a service gets a request.
+//! - [`Rollout`]: which version of a service gets a request;
+//! - [`ReadDuty`]: which instance reads the store for its domain.
 
 mod admit;
 mod budget;
@@ -18,6 +19,7 @@
 mod catalog;
 mod fleet;
 mod place;
+mod reading;
 mod rollout;
 mod sessions;
 
@@ -29,6 +31,7 @@
 };
 pub use fleet::{Fleet, Outcome, Report, Server, ServerInfo, Work};
 pub use place::{Ask, NoPlace, Part, Placement, place};
+pub use reading::{ReadDuty, ReadStep};
 pub use rollout::{Decision, Order, Phase, Rollout, RolloutState, Sample, Side, Tally, may_try};
 pub use sessions::Sessions;
 
--- a/crates/fakes/src/site_store.rs
+++ b/crates/fakes/src/site_store.rs
@@ -48,6 +48,7 @@
     compacted: u64,
     rows: BTreeMap<(String, String), Row>,
     calls: HashMap<String, u64>,
+    feeds: HashMap<String, usize>,
 }
 
 struct Row {
@@ -107,6 +108,11 @@
         self.connections.admit();
     }
 
+    /// How many feeds of a table are held open.
+    pub fn open_feeds(&self, table: &str) -> usize {
+        self.state.rows.lock().unwrap().feeds.get(table).copied().unwrap_or(0)
+    }
+
     /// How many calls came to a path.
     pub fn calls(&self, path: &str) -> u64 {
         self.state.rows.lock().unwrap().calls.get(path).copied().unwrap_or(0)
@@ -170,6 +176,7 @@
         let number = |name: &str| query.get(name).and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
         let table = query.get("table").cloned().unwrap_or_default();
         let until = tokio::time::Instant::now() + Duration::from_millis(number("wait_ms"));
+        let _held = HeldFeed::new(self, &table);
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
@@ -230,6 +237,27 @@
     }
 }
 
+/// A feed that is held open.
+struct HeldFeed<'a> {
+    state: &'a State,
+    table: &'a str,
+}
+
+impl<'a> HeldFeed<'a> {
+    fn new(state: &'a State, table: &'a str) -> Self {
+        *state.rows.lock().unwrap().feeds.entry(table.to_owned()).or_default() += 1;
+        HeldFeed { state, table }
+    }
+}
+
+impl Drop for HeldFeed<'_> {
+    fn drop(&mut self) {
+        if let Some(feeds) = self.state.rows.lock().unwrap().feeds.get_mut(self.table) {
+            *feeds -= 1;
+        }
+    }
+}
+
 fn place(row: &Value) -> Option<(String, String)> {
     Some((row["table"].as_str()?.to_owned(), row["key"].as_str()?.to_owned()))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,11 +5,14 @@
 //! crate to servers and back, and [`Gateway`] holds what all of them share.
 //! A [`Dialect`] says how requests and answers are spelled on the wire.
 
-mod exchange;
+mod digest;
 mod events;
+mod exchange;
+mod follow;
 mod front;
 mod gateway;
 mod metrics;
+mod packed;
 mod peers;
 mod ready;
 mod record;
@@ -18,13 +21,17 @@
 mod send;
 mod stream;
 mod wire;
+mod words;
 
 pub use events::{Event, EventReader};
+pub use follow::{Followed, Follower, Page, Row, StoreFault, Tables, Unreadable};
 pub use front::{Drained, Front};
 pub use gateway::{Gateway, GatewayBuilder, Leaving, Setup};
 pub use metrics::Metrics;
+pub use packed::{pack, unpack};
 pub use peers::Peers;
 pub use ready::serve_status;
 pub use record::{Budgeted, record};
 pub use rollouts::{RolloutStore, Settled, run_rollouts};
 pub use wire::{Dialect, Facts, Forward, Intake};
+pub use words::{Changes, Known, Missing, ToldRow, Word, words_of};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,20 +3,24 @@
 //! Datagrams are sent while there is something to tell; one that is lost is
 //! made good by the next, since every one carries whole counts.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, anyhow};
 use config::Name;
-use dispatch::{RolloutState, Sample, Tally, Work, may_try};
-use policy::{hash_parts, hash_unit};
+use dispatch::Mono;
+use policy::hash_parts;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
 
+use crate::digest::{Digest, Loads};
 use crate::gateway::Gateway;
+use crate::packed::{LONGEST, pack, unpack};
+use crate::words::{Known, Word};
 
 /// How often an instance tells its peers what changed.
 const TELL_EVERY: Duration = Duration::from_millis(400);
@@ -24,14 +28,21 @@
 const TELL_LOADS_EVERY: Duration = Duration::from_millis(120);
 /// Unchanged loads are told every so many times, so that they stay known.
 const LOADS_ANYWAY: u32 = 5;
-/// The longest datagram, in bytes.
-const LONGEST: usize = 8 << 10;
+/// How often the reader of a table tells its domain that the store answers.
+const TELL_ANSWERS_EVERY: Duration = Duration::from_millis(250);
+/// How long an answer of the store is told: as long as others go by it.
+const ANSWERS_TOLD_FOR: Duration = Duration::from_millis(1_150);
+/// Datagrams up to this length, in bytes, are sent at once.
+const ONE_PACKET: usize = 1_400;
+/// How fast longer ones are sent, in bytes a second: under half of a link of 10
+/// megabits a second, whose queue drops what comes in bursts.
+const PACE: f64 = 0.5e6;
+/// Words that wait to be taken; more are dropped.
+const WAITING_WORDS: usize = 64;
 /// Sessions that are told at the most in one datagram.
 const MOST_SESSIONS: usize = 120;
 /// How often an instance greets those it has learnt of.
 const GREETINGS: u32 = 3;
-/// Convicted requests that are told at the most in one datagram.
-const MOST_POISON: usize = 32;
 
 /// The other instances.
 #[derive(Debug)]
@@ -39,6 +50,17 @@
     own: SocketAddr,
     addrs: RefCell<BTreeMap<SocketAddr, Option<Name>>>,
     greetings: Cell<u32>,
+    socket: OnceCell<UdpSocket>,
+    listeners: RefCell<BTreeMap<&'static str, Sender<Word>>>,
+    answers: RefCell<BTreeMap<&'static str, Answered>>,
+}
+
+/// The newest answer of the store on a table that this instance reads for its domain.
+#[derive(Debug, Clone, Copy)]
+struct Answered {
+    known: Known,
+    at: Mono,
+    unsettled: bool,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -47,55 +69,21 @@
     Digest(Digest),
     /// What the instances of the own domain are to know of the servers' load.
     Loads(Loads),
-}
-
-/// What an instance has at its servers: id, requests and tokens to be read.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-struct Loads {
-    instance: Name,
-    servers: Vec<(Name, u32, u32)>,
-}
-
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-struct Digest {
-    instance: Name,
-    domain: Name,
-    from: Option<SocketAddr>,
-    rollouts: Vec<Seen>,
-    poison: Vec<(u64, u32)>,
-    sessions: Vec<(u64, Name)>,
-}
-
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct Seen {
-    service: Name,
-    to: Name,
-    revision: u64,
-    state: RolloutState,
-    written: bool,
-    begun: bool,
-    age_ms: u64,
-    old: [f64; 4],
-    new: [f64; 4],
-    old_open: u32,
-}
-
-impl Digest {
-    /// Whether it tells nothing new; the age of an order grows by itself.
-    fn same(&self, told: &Digest) -> bool {
-        let ageless = |digest: &Digest| {
-            let mut digest = digest.clone();
-            digest.rollouts.iter_mut().for_each(|seen| seen.age_ms = 0);
-            digest
-        };
-        ageless(self) == ageless(told)
-    }
+    /// What the domain's reader has of the store.
+    Word(Word),
 }
 
 impl Peers {
     /// No peers yet, for an instance that listens at `own`.
     pub fn new(own: SocketAddr) -> Self {
-        Peers { own, addrs: RefCell::default(), greetings: Cell::new(0) }
+        Peers {
+            own,
+            addrs: RefCell::default(),
+            greetings: Cell::new(0),
+            socket: OnceCell::new(),
+            listeners: RefCell::default(),
+            answers: RefCell::default(),
+        }
     }
 
     /// Adds addresses and greets them, so that they know this instance too.
@@ -115,23 +103,57 @@
     /// The place of this instance in the order for a chore; others take it over
     /// one after the other.
     pub fn rank(&self, chore: &str) -> usize {
+        let addrs = self.addrs.borrow();
+        addrs.keys().filter(|addr| self.is_before(addr, chore)).count()
+    }
+
+    /// The place of this instance among those of its domain, and their number.
+    pub(crate) fn place_near(&self, domain: &Name, chore: &str) -> (usize, usize) {
+        let near = self.near(domain);
+        let before = near.iter().filter(|addr| self.is_before(addr, chore)).count();
+        (before, near.len() + 1)
+    }
+
+    /// Whether another instance comes before this one in the order for a chore.
+    fn is_before(&self, other: &SocketAddr, chore: &str) -> bool {
         let score =
             |addr: &SocketAddr| hash_parts(&[chore.as_bytes(), addr.to_string().as_bytes()]);
-        let own = score(&self.own);
-        self.addrs.borrow().keys().filter(|addr| score(addr) < own).count()
+        score(other) < score(&self.own)
+    }
+
+    /// Words of others on a table from now on.
+    pub(crate) fn subscribe(&self, table: &'static str) -> Receiver<Word> {
+        let (sender, receiver) = channel(WAITING_WORDS);
+        self.listeners.borrow_mut().insert(table, sender);
+        receiver
+    }
+
+    /// Tells the instances of the domain what this one has read.
+    pub(crate) async fn tell_words(&self, domain: &Name, words: Vec<Word>) {
+        let near = self.near(domain);
+        for word in words {
+            self.send(&Message::Word(word), &near).await;
+        }
+    }
+
+    /// Notes an answer of the store, of which the domain is told for a while.
+    pub(crate) fn answered(&self, table: &'static str, known: Known, at: Mono, unsettled: bool) {
+        self.answers.borrow_mut().insert(table, Answered { known, at, unsettled });
     }
 
     /// Tells and listens until the process ends.
     pub async fn run<D: 'static>(self: Rc<Self>, gateway: Rc<Gateway<D>>) -> Result<()> {
         let socket = UdpSocket::bind(self.own).await;
-        let socket = Rc::new(socket.with_context(|| format!("peers' address {}", self.own))?);
-        tokio::task::spawn_local(self.clone().listen(gateway.clone(), socket.clone()));
-        tokio::task::spawn_local(self.clone().tell_loads(gateway.clone(), socket.clone()));
-        tokio::task::spawn_local(self.tell(gateway, socket));
+        let socket = socket.with_context(|| format!("peers' address {}", self.own))?;
+        self.socket.set(socket).map_err(|_| anyhow!("peers run already"))?;
+        tokio::task::spawn_local(self.clone().listen(gateway.clone()));
+        tokio::task::spawn_local(self.clone().tell_loads(gateway.clone()));
+        tokio::task::spawn_local(self.clone().tell_answers(gateway.clone()));
+        tokio::task::spawn_local(self.tell(gateway));
         Ok(())
     }
 
-    async fn tell<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
+    async fn tell<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
         let mut told = Digest::default();
         let mut before = Vec::new();
         loop {
@@ -148,13 +170,13 @@
                 continue;
             }
             let addrs: Vec<SocketAddr> = self.addrs.borrow().keys().copied().collect();
-            send(&socket, &Message::Digest(digest.clone()), &addrs).await;
+            self.send(&Message::Digest(digest.clone()), &addrs).await;
             told = digest;
         }
     }
 
     /// Tells the instances of the own domain what this one has at its servers.
-    async fn tell_loads<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
+    async fn tell_loads<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
         let mut told = Loads::default();
         let mut quiet = 0;
         loop {
@@ -166,11 +188,32 @@
                 continue;
             }
             let addrs = self.near(&gateway.setup.domain);
-            send(&socket, &Message::Loads(loads.clone()), &addrs).await;
+            self.send(&Message::Loads(loads.clone()), &addrs).await;
             told = loads;
         }
     }
 
+    /// Tells the domain which answers of the store are fresh.
+    async fn tell_answers<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
+        loop {
+            tokio::time::sleep(TELL_ANSWERS_EVERY).await;
+            let now = gateway.now();
+            let answers = self.answers.borrow().clone();
+            let words = answers.into_iter().filter_map(|(table, answered)| {
+                let age = now.saturating_sub(answered.at);
+                (age < ANSWERS_TOLD_FOR).then(|| Word {
+                    table: table.to_owned(),
+                    known: answered.known,
+                    age_ms: age.as_millis() as u64,
+                    unsettled: answered.unsettled,
+                    changes: None,
+                    first: false,
+                })
+            });
+            self.tell_words(&gateway.setup.domain, words.collect()).await;
+        }
+    }
+
     /// The instances of a domain.
     fn near(&self, domain: &Name) -> Vec<SocketAddr> {
         let addrs = self.addrs.borrow();
@@ -178,20 +221,13 @@
         near.map(|(addr, _)| *addr).collect()
     }
 
-    async fn listen<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>, socket: Rc<UdpSocket>) {
+    async fn listen<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
+        let Some(socket) = self.socket.get() else { return };
         let mut buffer = vec![0; LONGEST];
         loop {
             match socket.recv_from(&mut buffer).await {
-                Ok((length, from)) => match serde_json::from_slice::<Message>(&buffer[..length]) {
-                    Ok(Message::Loads(loads)) => gateway.loads(loads),
-                    Ok(Message::Digest(digest)) => {
-                        if let Some(addr) = digest.from {
-                            let domain = Some(digest.domain.clone());
-                            self.addrs.borrow_mut().insert(addr, domain);
-                        }
-                        gateway.set_members(self.members());
-                        gateway.told(digest);
-                    }
+                Ok((length, from)) => match unpack(&buffer[..length]) {
+                    Ok(message) => self.hear(&gateway, message, &from),
                     Err(error) => log::debug!("a datagram of {from} can't be read: {error}"),
                 },
                 Err(error) => {
@@ -201,115 +237,44 @@
             }
         }
     }
-}
-
-/// Sends a message to instances; one that can't be sent is made good by the next.
-async fn send(socket: &UdpSocket, message: &Message, addrs: &[SocketAddr]) {
-    let bytes = match serde_json::to_vec(message) {
-        Ok(bytes) => bytes,
-        Err(error) => return log::warn!("a message to peers can't be written: {error}"),
-    };
-    for addr in addrs {
-        if let Err(error) = socket.send_to(&bytes, addr).await {
-            log::debug!("nothing told to {addr}: {error}");
-        }
-    }
-}
 
-impl<D> Gateway<D> {
-    fn digest(&self, from: SocketAddr) -> Digest {
-        let rollouts = self.rollouts.borrow();
-        let seen = rollouts.values().map(|watched| Seen {
-            service: watched.rollout.order.service.clone(),
-            to: watched.rollout.order.to.clone(),
-            revision: watched.rollout.order.revision,
-            state: watched.rollout.state,
-            written: watched.written,
-            begun: watched.begun,
-            age_ms: watched.rollout.age(self.now()).as_millis() as u64,
-            old: pack(&watched.own.old),
-            new: pack(&watched.own.new),
-            old_open: self.old_open(&watched.rollout.order.service, &watched.rollout.order.to),
-        });
-        let poison = self.poison.borrow();
-        let untold = self.sessions.borrow_mut().take_untold();
-        Digest {
-            instance: self.setup.instance.clone(),
-            domain: self.setup.domain.clone(),
-            from: Some(from),
-            rollouts: seen.collect(),
-            poison: poison.rows().take(MOST_POISON).collect(),
-            sessions: untold
-                .into_iter()
-                .filter(|(session, _)| may_try(hash_unit(*session)))
-                .collect(),
+    fn hear<D>(&self, gateway: &Gateway<D>, message: Message, from: &SocketAddr) {
+        match message {
+            Message::Loads(loads) => gateway.loads(loads),
+            Message::Digest(digest) => {
+                if let Some(addr) = digest.from {
+                    let domain = Some(digest.domain.clone());
+                    self.addrs.borrow_mut().insert(addr, domain);
+                }
+                gateway.set_members(self.members());
+                gateway.told(digest);
+            }
+            Message::Word(mut word) => {
+                word.first = self.is_before(from, &word.table);
+                let listeners = self.listeners.borrow();
+                let Some(listener) = listeners.get(&*word.table) else { return };
+                if let Err(error) = listener.try_send(word) {
+                    // The next word shows what this one would have told.
+                    log::debug!("a word of {from} is dropped: {error}");
+                }
+            }
         }
     }
 
-    fn own_loads(&self) -> Loads {
-        let mut servers: Vec<(Name, u32, u32)> = self
-            .fleet
-            .borrow()
-            .own_work()
-            .into_iter()
-            .map(|(id, work)| (id, work.open, work.reading as u32))
-            .collect();
-        servers.sort();
-        Loads { instance: self.setup.instance.clone(), servers }
-    }
-
-    fn loads(&self, loads: Loads) {
-        let work = loads
-            .servers
-            .into_iter()
-            .map(|(id, open, reading)| (id, Work { open, reading: f64::from(reading) }));
-        let now = self.now();
-        self.fleet.borrow_mut().told(&loads.instance, work.collect(), now);
-    }
-
-    fn told(&self, digest: Digest) {
-        let now = self.now();
-        for seen in &digest.rollouts {
-            if self.rollout_revision(&seen.service) == Some(seen.revision) {
-                self.settled(&seen.service, &seen.to, seen.state, seen.written);
-                self.rollout_age(&seen.service, &seen.to, Duration::from_millis(seen.age_ms));
+    /// Sends a message to instances; one that can't be sent is made good by the next.
+    async fn send(&self, message: &Message, addrs: &[SocketAddr]) {
+        let Some(socket) = self.socket.get() else { return };
+        let bytes = match pack(message) {
+            Ok(bytes) => bytes,
+            Err(error) => return log::warn!("a message to peers can't be written: {error}"),
+        };
+        for addr in addrs {
+            if let Err(error) = socket.send_to(&bytes, addr).await {
+                log::debug!("nothing told to {addr}: {error}");
             }
-        }
-        let mut rollouts = self.rollouts.borrow_mut();
-        for seen in digest.rollouts {
-            let Some(watched) = rollouts.get_mut(&seen.service) else { continue };
-            if watched.rollout.order.revision != seen.revision {
-                continue;
+            if bytes.len() > ONE_PACKET {
+                tokio::time::sleep(Duration::from_secs_f64(bytes.len() as f64 / PACE)).await;
             }
-            let tally =
-                Tally { old: unpack(&seen.old), new: unpack(&seen.new), old_open: seen.old_open };
-            watched.begun |= seen.begun;
-            watched.peers.insert(digest.instance.clone(), (tally, now));
-        }
-        let mut poison = self.poison.borrow_mut();
-        for (fingerprint, deaths) in digest.poison {
-            poison.merge(fingerprint, deaths, now);
-        }
-        let mut sessions = self.sessions.borrow_mut();
-        for (session, version) in digest.sessions {
-            sessions.merge(session, &version, now);
         }
     }
-
-    /// Own requests in flight at servers of another version than `to`.
-    pub(crate) fn old_open(&self, service: &str, to: &str) -> u32 {
-        let fleet = self.fleet.borrow();
-        let old = fleet.of(service).filter(|server| *server.info.version != *to);
-        old.map(|server| server.open).sum()
-    }
-}
-
-fn pack(sample: &Sample) -> [f64; 4] {
-    let Sample { answers, bad, timed, time_ms } = *sample;
-    [f64::from(answers), f64::from(bad), f64::from(timed), time_ms]
-}
-
-fn unpack(packed: &[f64; 4]) -> Sample {
-    let [answers, bad, timed, time_ms] = *packed;
-    Sample { answers: answers as u32, bad: bad as u32, timed: timed as u32, time_ms }
 }
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -11,7 +11,9 @@
 //!   `ended ID CODE`, `metric ID NAME VALUE` wait for a process.
 //! - `store out|silent|back|compact|break`, `order SERVICE VERSION SECONDS`,
 //!   `state SERVICE STATE` waits for a roll-out's state.
-//! - `within-order MS` checks the time since the last order.
+//! - `within-order MS` checks the time since the last order, `within-config MS`
+//!   that since the last configuration.
+//! - `feeds TABLE N` waits until so many feeds of a table are held open.
 //! - `many NODE PATH COUNT` sends requests of which each must be answered.
 //! - `load NODE PATH SERVICE STATE` sends requests until a roll-out has a state.
 //! - `ask NODE PATH ID [key=K] [deadline=MS] [session=S] [last=N] [method=M]
@@ -76,6 +78,7 @@
     asked: HashMap<String, JoinHandle<Result<(Reply, Duration)>>>,
     last: Option<(Reply, Duration)>,
     ordered: Option<Instant>,
+    configured: Option<Instant>,
     stop: CancellationToken,
 }
 
@@ -89,6 +92,7 @@
             asked: HashMap::new(),
             last: None,
             ordered: None,
+            configured: None,
             stop,
         })
     }
@@ -136,6 +140,11 @@
                 let since = self.ordered.context("nothing was ordered")?.elapsed();
                 ensure!(since <= Duration::from_millis(ms.parse()?), "it took {since:?}");
             }
+            ["within-config", ms] => {
+                let since = self.configured.context("nothing was configured")?.elapsed();
+                ensure!(since <= Duration::from_millis(ms.parse()?), "it took {since:?}");
+            }
+            ["feeds", table, count] => self.until_feeds(table, count.parse()?).await?,
             ["state", service, state] => self.until_state(service, state).await?,
             ["load", node, path, service, state] => {
                 self.load(node, path, service, state).await?;
@@ -162,7 +171,7 @@
         Ok(())
     }
 
-    fn config(&self, version: u64, options: &Options) {
+    fn config(&mut self, version: u64, options: &Options) {
         let timeout = options.get("timeout").and_then(|ms| ms.parse().ok()).unwrap_or(5_000);
         let chat = options.get("chat").unwrap_or("llm");
         let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
@@ -193,6 +202,7 @@
             "tenants": [{ "name": "ana", "api_keys": keys.collect::<Vec<_>>(), "priority": 1 }],
         });
         self.store.put("op", "config", config.to_string().as_bytes());
+        self.configured = Some(Instant::now());
     }
 
     async fn server(&mut self, id: &str, service: &str, options: &Options<'_>) -> Result<()> {
@@ -237,6 +247,16 @@
         Ok(())
     }
 
+    async fn until_feeds(&self, table: &str, count: usize) -> Result<()> {
+        let start = Instant::now();
+        while self.store.open_feeds(table) != count {
+            let open = self.store.open_feeds(table);
+            ensure!(start.elapsed() < STATE_WAIT, "{open} feeds of {table} are open");
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(())
+    }
+
     fn state(&self, service: &str) -> Value {
         let row = self.store.get("status", &format!("rollout/{service}"));
         row.and_then(|row| serde_json::from_slice(&row).ok()).unwrap_or_default()
