--- a/crates/error/src/kind.rs
+++ b/crates/error/src/kind.rs
@@ -16,6 +16,8 @@
     BadBody,
     /// The body is longer than the limit.
     BodyTooLarge,
+    /// The request's head is over the limit.
+    HeadTooLarge,
     /// The caller stopped sending before the end of the body.
     BodyCut,
     /// The route needs an `Idempotency-Key` header and there is none.
@@ -78,12 +80,13 @@
 
 impl Kind {
     /// All kinds, in the order of the table.
-    pub const ALL: [Kind; 22] = [
+    pub const ALL: [Kind; 23] = [
         Kind::UnknownKey,
         Kind::UnknownRoute,
         Kind::NotAllowed,
         Kind::BadBody,
         Kind::BodyTooLarge,
+        Kind::HeadTooLarge,
         Kind::BodyCut,
         Kind::KeyMissing,
         Kind::KeyReused,
@@ -111,6 +114,7 @@
             Kind::NotAllowed => "not_allowed",
             Kind::BadBody => "bad_body",
             Kind::BodyTooLarge => "body_too_large",
+            Kind::HeadTooLarge => "head_too_large",
             Kind::BodyCut => "body_cut",
             Kind::KeyMissing => "key_missing",
             Kind::KeyReused => "key_reused",
@@ -139,6 +143,7 @@
             Kind::NotAllowed => refused(403, "The client account may not use this route."),
             Kind::BadBody => refused(400, "The body is not valid JSON for this interface."),
             Kind::BodyTooLarge => refused(413, "The body is over the limit."),
+            Kind::HeadTooLarge => refused(431, "The head of the request is over the limit."),
             Kind::BodyCut => refused(400, "The body ended before it was whole."),
             Kind::KeyMissing => refused(400, "This route needs an Idempotency-Key header."),
             Kind::KeyReused => refused(422, "The idempotency key was used with another body."),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 };
 use error::{Kind, Proof, Refusal};
 use http::request::Parts;
-use http::{Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use policy::hash_parts;
@@ -143,6 +143,9 @@
     let intake = gateway.dialect.intake(&head).map_err(refuse)?;
     *id = intake.id.clone();
     let catalog = gateway.catalog().ok_or_else(|| refuse(Kind::NotReady))?;
+    if head_bytes(&head) > catalog.limits.header_bytes {
+        return Err(refuse(Kind::HeadTooLarge));
+    }
     let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or_default();
     let route = catalog.routes.find(host, head.uri.path()).cloned();
@@ -152,7 +155,9 @@
     if gateway.refuses(patience) {
         return Err(refuse(Kind::Draining));
     }
-    let body = read(body, catalog.limits.body_bytes).await.map_err(refuse)?;
+    let reading = read(body, catalog.limits.body_bytes);
+    let body = tokio::time::timeout(patience, reading).await.unwrap_or(Err(Kind::BodyCut));
+    let body = body.map_err(refuse)?;
     let service = route.target(gateway.draw()).cloned();
     let service = service.ok_or_else(|| refuse(Kind::NoServer))?;
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
@@ -187,6 +192,14 @@
     }
 }
 
+/// The bytes of a request's line and headers.
+fn head_bytes(head: &Parts) -> usize {
+    let target = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    // A colon, a space and a line end beside each name and value.
+    let line = |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len() + 4;
+    target + head.headers.iter().map(line).sum::<usize>()
+}
+
 async fn read(body: Incoming, limit: usize) -> Result<Bytes, Kind> {
     match Limited::new(body, limit).collect().await {
         Ok(whole) => Ok(whole.to_bytes()),
--- a/tests/runner/node.rs
+++ b/tests/runner/node.rs
@@ -8,6 +8,7 @@
 use anyhow::{Context, Result, bail};
 use http_body_util::Full;
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// The longest wait for a condition, in looks.
 const LOOKS: u32 = 1_500;
@@ -163,3 +164,15 @@
 fn free_port() -> Result<SocketAddr> {
     Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
 }
+
+/// Sends bytes on a new connection and reads until it ends.
+pub async fn exchange_raw(addr: SocketAddr, text: &str) -> Result<String> {
+    let mut stream = tokio::net::TcpStream::connect(addr).await?;
+    stream.write_all(text.as_bytes()).await?;
+    let mut heard = Vec::new();
+    let reading = stream.read_to_end(&mut heard);
+    let ended = tokio::time::timeout(LOOK * LOOKS, reading).await;
+    // A connection that is reset has said what it had to say.
+    let _ = ended.context("the connection does not end")?;
+    Ok(String::from_utf8_lossy(&heard).into_owned())
+}
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -21,6 +21,9 @@
 //!   `answer ID` then waits.
 //! - `expect STATUS [whole|cut] [body=TEXT] [events=A-B] [retry] [within=MS]`
 //!   checks the last answer.
+//! - `raw NODE TEXT` sends bytes (`\\s`, `\\r`, `\\n` stand for space and line ends)
+//!   and reads until the connection ends; `says TEXT` and `lacks TEXT` check what
+//!   came, `answers N` how many answers.
 //! - `ran ID N [at=SERVER]`, `came ID N`, `header ID NAME VALUE|-` check what
 //!   servers saw.
 
@@ -37,7 +40,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::node::{Node, Reply, exchange};
+use crate::node::{Node, Reply, exchange, exchange_raw};
 
 /// The longest wait for a roll-out's state.
 const STATE_WAIT: Duration = Duration::from_secs(30);
@@ -79,6 +82,7 @@
     last: Option<(Reply, Duration)>,
     ordered: Option<Instant>,
     configured: Option<Instant>,
+    heard: String,
     stop: CancellationToken,
 }
 
@@ -93,6 +97,7 @@
             last: None,
             ordered: None,
             configured: None,
+            heard: String::new(),
             stop,
         })
     }
@@ -159,6 +164,20 @@
                 self.asked.remove(id).context("nothing was asked under this id")?.abort();
             }
             ["expect", status, ..] => self.expect(status.parse()?, &options)?,
+            ["raw", node, text] => {
+                let addr = self.node(node)?.callers;
+                self.heard = exchange_raw(addr, &unescape(text)).await?;
+            }
+            ["says", text] => {
+                ensure!(self.heard.contains(&unescape(text)), "it was {:?}", self.heard);
+            }
+            ["lacks", text] => {
+                ensure!(!self.heard.contains(&unescape(text)), "it was {:?}", self.heard);
+            }
+            ["answers", count] => {
+                let found = self.heard.matches("HTTP/1.1 ").count();
+                ensure!(found == count.parse::<usize>()?, "it was {:?}", self.heard);
+            }
             ["ran", id, count, ..] => {
                 let at = options.get("at");
                 let ran = |a: &fakes::SiteArrival| a.ran && at.is_none_or(|at| a.server == at);
@@ -425,6 +444,10 @@
     })
 }
 
+fn unescape(text: &str) -> String {
+    text.replace("\\s", " ").replace("\\r", "\r").replace("\\n", "\n")
+}
+
 /// Words of a line of the form `name=value`, and plain words.
 struct Options<'a>(&'a [&'a str]);
 
