--- /dev/null
+++ b/crates/dispatch/benches/place.rs
@@ -0,0 +1,67 @@
+//! What one placement costs, by the number of servers and of open requests.
+//!
+//! `cargo bench -p dispatch`: prints microseconds a decision.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use dispatch::{Ask, Fleet, Part, PartKey, ServerInfo, place};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Decisions that are timed.
+const DECISIONS: u32 = 2_000;
+
+fn main() {
+    println!("{:>8} {:>6} {:>12}", "servers", "open", "us/decision");
+    for servers in [60, 375, 3_000] {
+        for open in [0, 30 * servers] {
+            println!("{servers:>8} {open:>6} {:>12.1}", time(servers, open));
+        }
+    }
+}
+
+fn time(servers: usize, open: usize) -> f64 {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let now = Duration::from_secs(10);
+    let mut fleet = Fleet::default();
+    for n in 0..servers {
+        fleet.update(ServerInfo {
+            id: format!("i-{n:08x}").into(),
+            service: "llm".into(),
+            addr: ([127, 0, 0, 1], 1).into(),
+            domain: format!("d{}", n % 8).into(),
+            version: "v1".into(),
+            slots: 32,
+            leaving: false,
+            born: 1,
+        });
+    }
+    let parts = |rng: &mut ChaCha8Rng| {
+        let shared = rng.random_range(0..500);
+        [(1, 512), (shared, 4_870), (rng.random(), 6_610)].map(|(id, tokens)| Part { id, tokens })
+    };
+    let (service, domain) = ("llm".into(), "d3".into());
+    for n in 0..open {
+        let parts = parts(&mut rng);
+        let id = format!("i-{:08x}", n % servers);
+        fleet.sent(&id, 6_610.0);
+        parts.iter().for_each(|part| fleet.holds(&id, PartKey::new("m0", part.id), now));
+    }
+    let begun = Instant::now();
+    for _ in 0..DECISIONS {
+        let parts = parts(&mut rng);
+        let ask = Ask {
+            service: &service,
+            version: None,
+            barred: &[],
+            domain: &domain,
+            model: "m0",
+            effort: 0.4,
+            parts: &parts,
+            tried: &[],
+        };
+        black_box(place(&fleet, &ask, rng.random(), now)).expect("there are servers");
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(DECISIONS)
+}
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -25,8 +25,8 @@
 const PART_KEPT: Duration = Duration::from_secs(20);
 /// How long what a peer says of its work counts.
 const TOLD_KEPT: Duration = Duration::from_millis(1_500);
-/// Prompt parts that are remembered at the most.
-const MOST_PARTS: usize = 60_000;
+/// Prompt parts that are remembered of one server at the most.
+const MOST_PARTS: usize = 2_000;
 
 /// What the directory says of a server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -84,6 +84,9 @@
     pub open: u32,
     /// What own requests still have to have read, in tokens of a middling model.
     pub reading: f64,
+    /// A hash of the id, the same on every instance.
+    pub salt: u64,
+    parts: HashMap<u64, Mono>,
     peers: Work,
     report: Option<(Report, Mono, u32)>,
     failures: f64,
@@ -95,9 +98,11 @@
 impl Server {
     fn new(info: ServerInfo) -> Self {
         Server {
+            salt: hash_parts(&[info.id.as_bytes()]),
             info,
             open: 0,
             reading: 0.0,
+            parts: HashMap::new(),
             peers: Work::default(),
             report: None,
             failures: 0.0,
@@ -123,12 +128,18 @@
 
     /// How much longer work takes there now.
     pub fn slowdown(&self, now: Mono) -> f64 {
-        let Some((report, at, _)) = self.report else { return 1.0 };
+        let Some((report, at, _)) = self.report.filter(|(report, ..)| report.slowdown != 1.0)
+        else {
+            return 1.0;
+        };
         1.0 + (report.slowdown - 1.0) * fade(now, at, NOISE_FADES)
     }
 
     /// The share of recent requests that failed, from 0 to 1.
     pub fn failure_rate(&self, now: Mono) -> f64 {
+        if self.failures == 0.0 {
+            return 0.0;
+        }
         self.failures * fade(now, self.judged, FAILURE_FADES)
     }
 
@@ -137,6 +148,21 @@
         now < self.paused_until
     }
 
+    /// Whether its memory is likely to hold a prompt part.
+    pub fn holds(&self, part: PartKey, now: Mono) -> bool {
+        let since = self.parts.get(&part.0);
+        since.is_some_and(|since| now.saturating_sub(*since) < PART_KEPT)
+    }
+
+    fn keep(&mut self, part: PartKey, now: Mono) {
+        if self.parts.len() >= MOST_PARTS {
+            self.parts.retain(|_, since| now.saturating_sub(*since) < PART_KEPT);
+        }
+        if self.parts.len() < MOST_PARTS {
+            self.parts.insert(part.0, now);
+        }
+    }
+
     fn ended(&mut self, outcome: Outcome, now: Mono) {
         self.open = self.open.saturating_sub(1);
         let failed = match outcome {
@@ -163,6 +189,17 @@
     (-now.saturating_sub(since).as_secs_f64() / seconds).exp()
 }
 
+/// A prompt part as one model reads it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartKey(u64);
+
+impl PartKey {
+    /// The key of a part for a model.
+    pub fn new(model: &str, part: u64) -> Self {
+        PartKey(hash_parts(&[model.as_bytes(), &part.to_le_bytes()]))
+    }
+}
+
 /// What one instance has at a server.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Work {
@@ -179,9 +216,11 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     told: HashMap<Name, Told>,
-    servers: HashMap<Name, Server>,
-    services: HashMap<Name, Vec<Name>>,
-    parts: HashMap<u64, Mono>,
+    servers: Vec<Server>,
+    /// Places among the servers, by id.
+    places: HashMap<Name, usize>,
+    /// Places among the servers, by service.
+    services: HashMap<Name, Vec<usize>>,
 }
 
 impl Fleet {
@@ -189,51 +228,67 @@
     ///
     /// A new incarnation under an old id starts with a blank record.
     pub fn update(&mut self, info: ServerInfo) {
-        match self.servers.get_mut(&info.id) {
+        if self.get(&info.id).is_some_and(|known| known.info.service != info.service) {
+            self.remove(&info.id);
+        }
+        match self.find(&info.id) {
             Some(server) if server.info.born == info.born => server.info = info,
             Some(server) => *server = Server::new(info),
             None => {
-                self.services.entry(info.service.clone()).or_default().push(info.id.clone());
-                self.servers.insert(info.id.clone(), Server::new(info));
+                let place = self.servers.len();
+                self.services.entry(info.service.clone()).or_default().push(place);
+                self.places.insert(info.id.clone(), place);
+                self.servers.push(Server::new(info));
             }
         }
     }
 
     /// Forgets a server; returns whether it was known.
     pub fn remove(&mut self, id: &str) -> bool {
-        let Some(server) = self.servers.remove(id) else { return false };
-        if let Some(ids) = self.services.get_mut(&server.info.service) {
-            ids.retain(|other| **other != *id);
+        let Some(place) = self.places.remove(id) else { return false };
+        let gone = self.servers.swap_remove(place);
+        if let Some(places) = self.services.get_mut(&gone.info.service) {
+            places.retain(|other| *other != place);
+        }
+        // The last server has taken the free place.
+        if let Some(moved) = self.servers.get(place) {
+            self.places.insert(moved.info.id.clone(), place);
+            let places = self.services.get_mut(&moved.info.service).into_iter().flatten();
+            places.filter(|other| **other == self.servers.len()).for_each(|other| *other = place);
         }
         true
     }
 
     /// The ids of all servers.
     pub fn ids(&self) -> impl Iterator<Item = &Name> {
-        self.servers.keys()
+        self.servers.iter().map(|server| &server.info.id)
     }
 
     /// The server of an id.
     pub fn get(&self, id: &str) -> Option<&Server> {
-        self.servers.get(id)
+        self.places.get(id).and_then(|place| self.servers.get(*place))
+    }
+
+    fn find(&mut self, id: &str) -> Option<&mut Server> {
+        self.places.get(id).and_then(|place| self.servers.get_mut(*place))
     }
 
     /// The servers of a service.
     pub fn of<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Server> {
-        let ids = self.services.get(service).into_iter().flatten();
-        ids.filter_map(|id| self.servers.get(id))
+        let places = self.services.get(service).into_iter().flatten();
+        places.filter_map(|place| self.servers.get(*place))
     }
 
     /// Notes that a server says that it leaves, or was found to be another one.
     pub fn leaving(&mut self, id: &str) {
-        if let Some(server) = self.servers.get_mut(id) {
+        if let Some(server) = self.find(id) {
             server.info.leaving = true;
         }
     }
 
     /// Counts a request that goes to a server and has so much to be read.
     pub fn sent(&mut self, id: &str, reading: f64) {
-        if let Some(server) = self.servers.get_mut(id) {
+        if let Some(server) = self.find(id) {
             server.open += 1;
             server.reading += reading;
         }
@@ -241,14 +296,14 @@
 
     /// Notes that a request's prompt is read, or will not be.
     pub fn read(&mut self, id: &str, reading: f64) {
-        if let Some(server) = self.servers.get_mut(id) {
+        if let Some(server) = self.find(id) {
             server.reading = (server.reading - reading).max(0.0);
         }
     }
 
     /// The own work at all servers that have any.
     pub fn own_work(&self) -> Vec<(Name, Work)> {
-        let busy = self.servers.values().filter(|server| server.open > 0);
+        let busy = self.servers.iter().filter(|server| server.open > 0);
         let work = |server: &Server| Work { open: server.open, reading: server.reading };
         busy.map(|server| (server.info.id.clone(), work(server))).collect()
     }
@@ -257,11 +312,12 @@
     pub fn told(&mut self, peer: &Name, work: Vec<(Name, Work)>, now: Mono) {
         self.told.insert(peer.clone(), (now, work));
         self.told.retain(|_, (at, _)| now.saturating_sub(*at) < TOLD_KEPT);
-        for server in self.servers.values_mut() {
+        for server in &mut self.servers {
             server.peers = Work::default();
         }
         for (id, work) in self.told.values().flat_map(|(_, work)| work) {
-            if let Some(server) = self.servers.get_mut(id) {
+            let place = self.places.get(id).copied();
+            if let Some(server) = place.and_then(|place| self.servers.get_mut(place)) {
                 server.peers.open += work.open;
                 server.peers.reading += work.reading;
             }
@@ -270,35 +326,22 @@
 
     /// Takes a server's report of its load.
     pub fn reported(&mut self, id: &str, report: Report, now: Mono) {
-        if let Some(server) = self.servers.get_mut(id) {
+        if let Some(server) = self.find(id) {
             server.report = Some((report, now, server.open));
         }
     }
 
     /// Notes how a request at a server ended.
     pub fn ended(&mut self, id: &str, outcome: Outcome, now: Mono) {
-        if let Some(server) = self.servers.get_mut(id) {
+        if let Some(server) = self.find(id) {
             server.ended(outcome, now);
         }
     }
 
     /// Notes that a server's memory holds a prompt part now.
-    pub fn holds(&mut self, server: &str, model: &str, part: u64, now: Mono) {
-        if self.parts.len() >= MOST_PARTS {
-            self.parts.retain(|_, since| now.saturating_sub(*since) < PART_KEPT);
-        }
-        if self.parts.len() < MOST_PARTS {
-            self.parts.insert(part_key(server, model, part), now);
+    pub fn holds(&mut self, server: &str, part: PartKey, now: Mono) {
+        if let Some(server) = self.find(server) {
+            server.keep(part, now);
         }
     }
-
-    /// Whether a server's memory is likely to hold a prompt part.
-    pub fn held(&self, server: &str, model: &str, part: u64, now: Mono) -> bool {
-        let since = self.parts.get(&part_key(server, model, part));
-        since.is_some_and(|since| now.saturating_sub(*since) < PART_KEPT)
-    }
-}
-
-fn part_key(server: &str, model: &str, part: u64) -> u64 {
-    hash_parts(&[server.as_bytes(), model.as_bytes(), &part.to_le_bytes()])
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,7 +29,7 @@
 pub use catalog::{
     Account, Catalog, Engine, EngineModel, Limits, Repeat, Route, RouteTable, Service, Target,
 };
-pub use fleet::{Fleet, Outcome, Report, Server, ServerInfo, Work};
+pub use fleet::{Fleet, Outcome, PartKey, Report, Server, ServerInfo, Work};
 pub use place::{Ask, NoPlace, Part, Placement, place};
 pub use reading::{ReadDuty, ReadStep};
 pub use rollout::{Decision, Order, Phase, Rollout, RolloutState, Sample, Side, Tally, may_try};
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -5,10 +5,10 @@
 //! the time that it would take to begin the answer; the least wins.
 
 use config::Name;
-use policy::hash_parts;
+use policy::{hash_parts, mix};
 
 use crate::Mono;
-use crate::fleet::{Fleet, Server};
+use crate::fleet::{Fleet, PartKey, Server};
 
 /// Prompt tokens that an engine reads in a millisecond before anything is learnt.
 const READ_PER_MS: f64 = 100.0;
@@ -34,6 +34,10 @@
 /// The share of a prompt's shared parts that its home is trusted to hold.
 const HOME_TRUST: f64 = 0.6;
 
+/// Servers that are looked at beside the home: among so many a good one is as
+/// near to the best as the estimates are to the truth.
+const LOOKED_AT: usize = 128;
+
 /// A part of a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Part {
@@ -95,62 +99,89 @@
     if candidates.is_empty() {
         return Err(NoPlace::NoServer);
     }
+    let prompt = Prompt::new(ask);
     let home = home(&candidates, ask);
-    let mut best: Option<(f64, f64, &Server)> = None;
-    for server in candidates {
+    let salt = draw.to_bits();
+    let mut best: Option<Estimated> = None;
+    for server in home.into_iter().chain(looked_at(&candidates, salt)) {
         if ask.tried.contains(&server.info.id) {
             continue;
         }
-        let estimate = estimate(fleet, server, ask, home == Some(&server.info.id), now);
-        let jitter = hash_parts(&[server.info.id.as_bytes(), &draw.to_le_bytes()]) % 64;
+        let is_home = home.is_some_and(|home| home.salt == server.salt);
+        let reading = prompt.unread(server, is_home, now) * ask.effort;
+        let estimate_ms = estimate(server, ask, reading, now);
         let crosses = server.info.domain != *ask.domain;
-        let cost = estimate
+        let cost = estimate_ms
             + FAILURE_MS * server.failure_rate(now)
             + if crosses { CROSS_MS } else { 0.0 }
             + if server.paused(now) { PAUSED_MS } else { 0.0 }
-            + jitter as f64 / 32.0;
-        if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
-            best = Some((cost, estimate, server));
+            + (mix(server.salt ^ salt) % 64) as f64 / 32.0;
+        if best.as_ref().is_none_or(|best| cost < best.cost) {
+            best = Some(Estimated { cost, estimate_ms, reading, server });
         }
     }
-    let (_, estimate_ms, server) = best.ok_or(NoPlace::AllTried)?;
-    let is_home = home == Some(&server.info.id);
-    let reading = unread(fleet, server, ask, is_home, now) * ask.effort;
+    let Estimated { estimate_ms, reading, server, .. } = best.ok_or(NoPlace::AllTried)?;
     Ok(Placement { server: server.info.id.clone(), estimate_ms, reading })
 }
 
+/// A server with what it would take there.
+struct Estimated<'a> {
+    cost: f64,
+    estimate_ms: f64,
+    reading: f64,
+    server: &'a Server,
+}
+
+/// All candidates, or of many a part that differs from request to request.
+fn looked_at<'a>(candidates: &[&'a Server], salt: u64) -> impl Iterator<Item = &'a Server> {
+    let start = mix(salt) as usize % candidates.len();
+    let (before, after) = candidates.split_at(start);
+    after.iter().chain(before).take(LOOKED_AT).copied()
+}
+
 /// The server on which the instances of a domain agree for the prompt's deepest shared part.
-fn home<'a>(candidates: &[&'a Server], ask: &Ask) -> Option<&'a Name> {
+fn home<'a>(candidates: &[&'a Server], ask: &Ask) -> Option<&'a Server> {
     let shared = ask.parts.len().checked_sub(2)?;
-    let key = ask.parts[shared].id.to_le_bytes();
-    let score = |id: &str| hash_parts(&[ask.model.as_bytes(), &key, id.as_bytes()]);
+    let key = hash_parts(&[ask.model.as_bytes(), &ask.parts[shared].id.to_le_bytes()]);
     let near = |server: &&&Server| server.info.domain == *ask.domain;
-    let local = candidates.iter().filter(|server| near(server)).count() >= LOCAL_HOMES;
+    let local = candidates.iter().filter(near).count() >= LOCAL_HOMES;
     let homes = candidates.iter().filter(|server| !local || near(server));
-    homes.map(|server| &server.info.id).max_by_key(|id| score(id))
+    homes.copied().max_by_key(|server| mix(server.salt ^ key))
+}
+
+/// A prompt as its model reads it.
+struct Prompt {
+    parts: Vec<(PartKey, f64)>,
+    total: f64,
+    shared: f64,
 }
 
-fn estimate(fleet: &Fleet, server: &Server, ask: &Ask, is_home: bool, now: Mono) -> f64 {
+impl Prompt {
+    fn new(ask: &Ask) -> Self {
+        let key = |part: &Part| (PartKey::new(ask.model, part.id), f64::from(part.tokens));
+        let parts: Vec<(PartKey, f64)> = ask.parts.iter().map(key).collect();
+        let total = parts.iter().map(|(_, tokens)| tokens).sum();
+        let own = parts.last().map_or(0.0, |(_, tokens)| *tokens);
+        Prompt { parts, total, shared: total - own }
+    }
+
+    /// The tokens that a server would have to read.
+    fn unread(&self, server: &Server, is_home: bool, now: Mono) -> f64 {
+        let held = self.parts.iter().take_while(|(part, _)| server.holds(*part, now));
+        let known: f64 = held.map(|(_, tokens)| tokens).sum();
+        let trusted = if is_home { HOME_TRUST * self.shared } else { 0.0 };
+        self.total - known.max(trusted)
+    }
+}
+
+fn estimate(server: &Server, ask: &Ask, reading: f64, now: Mono) -> f64 {
     let load = server.load(now);
     let slots = f64::from(server.info.slots.max(1));
     let queue = (load + 1.0 - slots).max(0.0) * QUEUE_MS;
     let work = if ask.parts.is_empty() {
         load * SHARE_MS
     } else {
-        let ahead = AHEAD_SHARE * server.unread();
-        (unread(fleet, server, ask, is_home, now) * ask.effort + ahead) / READ_PER_MS
-            + load * BATCH_MS
+        (reading + AHEAD_SHARE * server.unread()) / READ_PER_MS + load * BATCH_MS
     };
     (work + queue) * server.slowdown(now)
 }
-
-/// The prompt tokens that the server would have to read.
-fn unread(fleet: &Fleet, server: &Server, ask: &Ask, is_home: bool, now: Mono) -> f64 {
-    let total: u32 = ask.parts.iter().map(|part| part.tokens).sum();
-    let held = |part: &&Part| fleet.held(&server.info.id, ask.model, part.id, now);
-    let known: u32 = ask.parts.iter().take_while(held).map(|part| part.tokens).sum();
-    let shared = ask.parts.len().saturating_sub(1);
-    let at_home: u32 = ask.parts[..shared].iter().map(|part| part.tokens).sum();
-    let trusted = if is_home { HOME_TRUST * f64::from(at_home) } else { 0.0 };
-    f64::from(total) - f64::from(known).max(trusted)
-}
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{at, info, parts};
-use dispatch::{Ask, Fleet, NoPlace, Outcome, Part, Report, place};
+use dispatch::{Ask, Fleet, NoPlace, Outcome, Part, PartKey, Report, place};
 
 #[derive(Default)]
 struct Wanted<'a> {
@@ -199,7 +199,7 @@
         let wanted = Wanted { parts: &prompt, ..Wanted::default() };
         let server = chosen(&fleet, &wanted, number as f64 / 400.0, at(number)).unwrap();
         fleet.sent(&server, 0.0);
-        fleet.holds(&server, "small", 7, at(number));
+        fleet.holds(&server, PartKey::new("small", 7), at(number));
         *counts.entry(server).or_insert(0u32) += 1;
     }
     let most = counts.values().max().copied().unwrap();
@@ -252,3 +252,61 @@
     fleet.update(dispatch::ServerInfo { leaving: true, ..info("s0", "z1", "v1") });
     assert_eq!(fleet.get("s0").unwrap().open, 1);
 }
+
+#[test]
+fn remove_keeps_the_others_in_their_services() {
+    let mut fleet = Fleet::default();
+    for id in ["a", "b", "c", "d"] {
+        fleet.update(info(id, "z1", "v1"));
+    }
+    fleet.update(dispatch::ServerInfo { service: "llm".into(), ..info("e", "z1", "v1") });
+    let ids = |fleet: &Fleet, service: &str| {
+        let mut ids: Vec<String> = fleet.of(service).map(|s| s.info.id.to_string()).collect();
+        ids.sort();
+        ids.concat()
+    };
+    assert!(fleet.remove("b"));
+    assert!(!fleet.remove("b"));
+    assert_eq!((ids(&fleet, "desk"), ids(&fleet, "llm")), ("acd".into(), "e".into()));
+    assert!(fleet.remove("a") && fleet.remove("d"));
+    assert_eq!((ids(&fleet, "desk"), ids(&fleet, "llm")), ("c".into(), "e".into()));
+    assert_eq!(fleet.get("e").map(|server| &*server.info.id), Some("e"));
+}
+
+#[test]
+fn update_of_another_service_moves_the_server() {
+    let mut fleet = Fleet::default();
+    fleet.update(info("a", "z1", "v1"));
+    fleet.update(dispatch::ServerInfo { service: "llm".into(), ..info("a", "z1", "v1") });
+    assert_eq!((fleet.of("desk").count(), fleet.of("llm").count()), (0, 1));
+}
+
+#[test]
+fn update_new_incarnation_holds_no_prompt() {
+    let (mut fleet, part) = (Fleet::default(), PartKey::new("small", 7));
+    fleet.update(info("a", "z1", "v1"));
+    fleet.holds("a", part, at(0));
+    fleet.update(dispatch::ServerInfo { born: 2, ..info("a", "z1", "v1") });
+    assert!(!fleet.get("a").unwrap().holds(part, at(1)));
+}
+
+/// The load: thousands of servers, of which each decision looks at a part.
+#[test]
+fn place_many_servers_avoids_loaded_ones() {
+    let mut fleet = Fleet::default();
+    for number in 0..2_000 {
+        let id = format!("s{number}");
+        fleet.update(info(&id, "z1", "v1"));
+        if number % 10 != 0 {
+            (0..12).for_each(|_| fleet.sent(&id, 0.0));
+        }
+    }
+    let mut chosen_of = std::collections::HashSet::new();
+    for number in 0..400 {
+        let wanted = Wanted::default();
+        let id = chosen(&fleet, &wanted, f64::from(number) / 400.0, at(0)).unwrap();
+        assert_eq!(fleet.get(&id).unwrap().open, 0, "{id} is loaded");
+        chosen_of.insert(id);
+    }
+    assert!(chosen_of.len() > 100, "only {} servers got work", chosen_of.len());
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use config::Name;
 use dispatch::{
-    Account, Admission, Ask, Cascade, Catalog, Mono, NoPlace, Outcome, Repeat, Route, Side,
-    Verdict, place,
+    Account, Admission, Ask, Cascade, Catalog, Mono, NoPlace, Outcome, PartKey, Repeat, Route,
+    Side, Verdict, place,
 };
 use error::{Kind, Proof, Refusal};
 use http::request::Parts;
@@ -320,7 +320,7 @@
             return Err(self.refuse(Kind::Overloaded, Some(after)));
         }
         for part in &self.intake.parts {
-            fleet.holds(&placement.server, model, part.id, now);
+            fleet.holds(&placement.server, PartKey::new(model, part.id), now);
         }
         let info = fleet.get(&placement.server).map(|server| server.info.clone());
         let info = info.ok_or_else(|| self.refuse(Kind::NoServer, Some(SOON)))?;
--- a/crates/policy/src/hash.rs
+++ b/crates/policy/src/hash.rs
@@ -40,8 +40,8 @@
     }
 }
 
-/// Spreads the last bytes over the whole word.
-fn mix(mut x: u64) -> u64 {
+/// Spreads every bit over the whole word.
+pub fn mix(mut x: u64) -> u64 {
     x ^= x >> 33;
     x = x.wrapping_mul(0xff51_afd7_ed55_8ccd);
     x ^= x >> 33;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,7 +34,7 @@
     Arrival, Attempt, Event, Failure, Rating, Report, RequestId, ServerInfo, ServerState, Usage,
 };
 pub use evidence::{EPOCH_MS, EvidenceRow, HaltKey, Tally, Verdict, VersionKey, judge};
-pub use hash::{hash_parts, hash_unit, rendezvous};
+pub use hash::{hash_parts, hash_unit, mix, rendezvous};
 pub use peers::{Digest, LoadHint, Member, PoisonRow};
 pub use poison::Poison;
 pub use quality::QualityRow;
