Leave a server that lapsed in an outage once others are listed again

Ruled out: the domain's reader (three instances hold feeds of their own); a shorter wait for all lapsed entries (living servers need up to two seconds). Change: a lapsed server counts as before for one second, then it is asked only if no other is left, then it is forgotten as before. The pause between looks for the store is 0.8 s again, not 1.2 s. Tests: place_lapsed_server_is_left_once_others_are_back, place_all_lapsed_servers_still_get_work.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -21,6 +21,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(400);
 /// The longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// How long a server whose entry lapsed counts as before: most of those that
+/// live are listed again by then, and one that left must get nothing soon after.
+const DOUBT_AFTER: Duration = Duration::from_secs(1);
 /// How long a prompt part is taken to stay in a server's memory.
 const PART_KEPT: Duration = Duration::from_secs(20);
 /// How long what a peer says of its work counts.
@@ -93,6 +96,7 @@
     judged: Mono,
     pauses: u32,
     paused_until: Mono,
+    lapsed: Option<Mono>,
 }
 
 impl Server {
@@ -109,6 +113,7 @@
             judged: Mono::ZERO,
             pauses: 0,
             paused_until: Mono::ZERO,
+            lapsed: None,
         }
     }
 
@@ -148,6 +153,12 @@
         now < self.paused_until
     }
 
+    /// Whether it is likely to have left: its entry lapsed in an outage of the
+    /// store, and it was not listed again when others were.
+    pub fn doubted(&self, now: Mono) -> bool {
+        self.lapsed.is_some_and(|at| now.saturating_sub(at) >= DOUBT_AFTER)
+    }
+
     /// Whether its memory is likely to hold a prompt part.
     pub fn holds(&self, part: PartKey, now: Mono) -> bool {
         let since = self.parts.get(&part.0);
@@ -232,7 +243,10 @@
             self.remove(&info.id);
         }
         match self.find(&info.id) {
-            Some(server) if server.info.born == info.born => server.info = info,
+            Some(server) if server.info.born == info.born => {
+                server.info = info;
+                server.lapsed = None;
+            }
             Some(server) => *server = Server::new(info),
             None => {
                 let place = self.servers.len();
@@ -279,6 +293,20 @@
         places.filter_map(|place| self.servers.get(*place))
     }
 
+    /// Notes that a server's entry lapsed in an outage of the store.
+    pub fn lapsed(&mut self, id: &str, now: Mono) {
+        if let Some(server) = self.find(id) {
+            server.lapsed.get_or_insert(now);
+        }
+    }
+
+    /// Notes that a server is listed, as it was before.
+    pub fn listed(&mut self, id: &str) {
+        if let Some(server) = self.find(id) {
+            server.lapsed = None;
+        }
+    }
+
     /// Notes that a server says that it leaves, or was found to be another one.
     pub fn leaving(&mut self, id: &str) {
         if let Some(server) = self.find(id) {
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -23,8 +23,8 @@
 const QUEUE_MS: f64 = 40.0;
 /// What a certain failure weighs against waiting, in ms.
 const FAILURE_MS: f64 = 2_000.0;
-/// What it weighs that a server could not be reached a moment ago, in ms: it is
-/// asked only if no other is left.
+/// What it weighs that a server could not be reached a moment ago, or has likely
+/// left, in ms: it is asked only if no other is left.
 const PAUSED_MS: f64 = 60_000.0;
 /// What it weighs to cross failure domains with a prompt, in ms.
 const CROSS_MS: f64 = 60.0;
@@ -114,7 +114,7 @@
         let cost = estimate_ms
             + FAILURE_MS * server.failure_rate(now)
             + if crosses { CROSS_MS } else { 0.0 }
-            + if server.paused(now) { PAUSED_MS } else { 0.0 }
+            + if server.paused(now) || server.doubted(now) { PAUSED_MS } else { 0.0 }
             + (mix(server.salt ^ salt) % 64) as f64 / 32.0;
         if best.as_ref().is_none_or(|best| cost < best.cost) {
             best = Some(Estimated { cost, estimate_ms, reading, server });
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -310,3 +310,29 @@
     }
     assert!(chosen_of.len() > 100, "only {} servers got work", chosen_of.len());
 }
+
+/// The load: entries lapse in an outage of the store; most are listed again
+/// within a second, those of servers that left are not.
+#[test]
+fn place_lapsed_server_is_left_once_others_are_back() {
+    let mut fleet = fleet(2);
+    fleet.lapsed("s0", at(0));
+    fleet.lapsed("s1", at(0));
+    let both = |fleet: &Fleet, now| {
+        let choose = |n: u32| chosen(fleet, &Wanted::default(), f64::from(n) / 50.0, now).unwrap();
+        (0..50).map(choose).collect::<std::collections::HashSet<_>>().len()
+    };
+    assert_eq!(both(&fleet, at(900)), 2);
+    fleet.listed("s1");
+    (0..6).for_each(|_| fleet.sent("s1", 0.0));
+    assert_eq!(chosen(&fleet, &Wanted::default(), 0.1, at(1_100)).as_deref(), Ok("s1"));
+    fleet.update(info("s0", "z1", "v1"));
+    assert_eq!(chosen(&fleet, &Wanted::default(), 0.1, at(1_200)).as_deref(), Ok("s0"));
+}
+
+#[test]
+fn place_all_lapsed_servers_still_get_work() {
+    let mut fleet = fleet(1);
+    fleet.lapsed("s0", at(0));
+    assert_eq!(chosen(&fleet, &Wanted::default(), 0.1, at(2_000)).as_deref(), Ok("s0"));
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -27,7 +27,7 @@
 /// The first pause after a call that failed; doubles each time.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause: short enough that changes are in force in time once the store is back.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1_200);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// How long the follower of one table leaves it to another's to find the store again.
 const LEFT_TO_OTHER: Duration = Duration::from_secs(3);
 /// How long after an outage others may still read what changed in it.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -259,7 +259,9 @@
         self.listings.borrow_mut().insert(info.id.clone(), self.now());
         let mut fleet = self.fleet.borrow_mut();
         let known = fleet.get(&info.id).is_some_and(|server| server.info == info);
-        if !known {
+        if known {
+            fleet.listed(&info.id);
+        } else {
             let fields = json!({
                 "server": &*info.id,
                 "service": &*info.service,
@@ -278,6 +280,13 @@
         self.listings.borrow().get(id).is_some_and(|at| *at >= since)
     }
 
+    /// Notes that a server's entry lapsed in an outage of the store.
+    pub fn server_lapsed(&self, id: &str) {
+        let now = self.now();
+        self.fleet.borrow_mut().lapsed(id, now);
+        self.lines.write("server_lapsed", now, || json!({ "server": id }));
+    }
+
     /// Forgets a server.
     pub fn server_gone(&self, id: &str) {
         let mut fleet = self.fleet.borrow_mut();
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -219,7 +219,7 @@
             for at in 0..INSTANCES {
                 schedule.run_one(at);
             }
-            if schedule.now.as_millis() % TOLD_EVERY.as_millis() == 0 {
+            if schedule.now.as_millis().is_multiple_of(TOLD_EVERY.as_millis()) {
                 schedule.tell_again();
             }
             schedule.check(seed);
