Gateway: arrivals and roll-outs' state in modules of their own

Cause: exchange.rs and gateway.rs had grown over 430 lines each, with the reading of requests and the state of roll-outs among the rest. Ruled out: any change of behaviour; functions moved as they were.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,33 +1,24 @@
 //! The life of one request, from its head to its answer.
 
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use config::Name;
-use dispatch::{
-    Account, Admission, Ask, Cascade, Catalog, Mono, NoPlace, Outcome, PartKey, Repeat, Route,
-    Side, Verdict, place,
-};
+use dispatch::{Admission, Ask, Cascade, NoPlace, Outcome, PartKey, Repeat, Side, Verdict, place};
 use error::{Kind, Proof, Refusal};
-use http::request::Parts;
-use http::{HeaderName, HeaderValue, Request, Response};
-use http_body_util::{BodyExt, Limited};
+use http::{Request, Response};
 use hyper::body::Incoming;
-use policy::hash_parts;
 use serde_json::{Value, json};
 
+use crate::arrival::{Job, admit};
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::reply::{Reply, refused};
 use crate::send::{Flight, Head, Order, Sent, Target, WHOLE_LIMIT};
-use crate::wire::{Dialect, Intake};
+use crate::wire::Dialect;
 
 /// Sends beyond the route's attempts that servers may reject without running.
 const EXTRA_REJECTED: u32 = 2;
-/// The patience of a caller that names none.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// A silent server is left after this many times the route's aim.
 const SILENT_AIMS: f64 = 2.5;
 /// The shortest time after which a silent server is left.
@@ -38,21 +29,6 @@
 /// How soon a request may come back that a passing fault kept from running.
 const SOON: Duration = Duration::from_millis(250);
 
-/// A request with all that was decided about it at its arrival.
-pub(crate) struct Job<D> {
-    pub gateway: Rc<Gateway<D>>,
-    pub route: Arc<Route>,
-    pub service: Name,
-    pub account: Option<Arc<Account>>,
-    pub intake: Intake,
-    pub head: Parts,
-    pub body: Bytes,
-    pub arrived: Mono,
-    pub deadline: Mono,
-    pub proof: Proof,
-    pub fingerprint: u64,
-}
-
 /// What has become of a request so far.
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
@@ -130,84 +106,6 @@
     }
 }
 
-/// Reads the request and checks what the configuration says of it.
-async fn admit<D: Dialect>(
-    gateway: &Rc<Gateway<D>>,
-    head: Parts,
-    body: Incoming,
-    arrived: Mono,
-    proof: &Proof,
-    id: &mut String,
-) -> Result<Job<D>, Refusal> {
-    let refuse = |kind| Refusal::new(kind, proof);
-    let intake = gateway.dialect.intake(&head).map_err(refuse)?;
-    *id = intake.id.clone();
-    let catalog = gateway.catalog().ok_or_else(|| refuse(Kind::NotReady))?;
-    if head_bytes(&head) > catalog.limits.header_bytes {
-        return Err(refuse(Kind::HeadTooLarge));
-    }
-    let host = head.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or_default();
-    let route = catalog.routes.find(host, head.uri.path()).cloned();
-    let route = route.ok_or_else(|| refuse(Kind::UnknownRoute))?;
-    let account = account(&catalog, &route, &intake).map_err(refuse)?;
-    let patience = intake.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
-    if gateway.refuses(patience) {
-        return Err(refuse(Kind::Draining));
-    }
-    let reading = read(body, catalog.limits.body_bytes);
-    let body = tokio::time::timeout(patience, reading).await.unwrap_or(Err(Kind::BodyCut));
-    let body = body.map_err(refuse)?;
-    let service = route.target(gateway.draw()).cloned();
-    let service = service.ok_or_else(|| refuse(Kind::NoServer))?;
-    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
-    let caller = account.as_ref().map_or("", |account| &*account.name);
-    let fingerprint = hash_parts(&[path.as_bytes(), caller.as_bytes(), &body]);
-    gateway.budget.borrow_mut().arrived(&service, gateway.now());
-    Ok(Job {
-        gateway: gateway.clone(),
-        route,
-        service,
-        account,
-        intake,
-        head,
-        body,
-        arrived,
-        deadline: arrived + patience,
-        proof: Proof::at_arrival(),
-        fingerprint,
-    })
-}
-
-fn account(
-    catalog: &Catalog,
-    route: &Route,
-    intake: &Intake,
-) -> Result<Option<Arc<Account>>, Kind> {
-    let found = intake.key.as_ref().and_then(|key| catalog.keys.get(key)).cloned();
-    match found {
-        Some(account) => Ok(Some(account)),
-        None if route.public || !catalog.keyed => Ok(None),
-        None => Err(Kind::UnknownKey),
-    }
-}
-
-/// The bytes of a request's line and headers.
-fn head_bytes(head: &Parts) -> usize {
-    let target = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
-    // A colon, a space and a line end beside each name and value.
-    let line = |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len() + 4;
-    target + head.headers.iter().map(line).sum::<usize>()
-}
-
-async fn read(body: Incoming, limit: usize) -> Result<Bytes, Kind> {
-    match Limited::new(body, limit).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Kind::BodyTooLarge),
-        Err(_) => Err(Kind::BodyCut),
-    }
-}
-
 async fn serve<D: Dialect>(job: &Rc<Job<D>>) -> Result<Response<Reply>, Refusal> {
     let mut progress = Progress {
         model: Cascade::first(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,10 +8,7 @@
 
 use config::Name;
 use conn::Pool;
-use dispatch::{
-    Catalog, Fleet, Mono, Order, Pressure, RetryBudget, Rollout, RolloutState, ServerInfo,
-    Sessions, Side, Tally,
-};
+use dispatch::{Catalog, Fleet, Mono, Pressure, RetryBudget, ServerInfo, Sessions};
 use policy::Poison;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,9 +17,7 @@
 
 use crate::metrics::Metrics;
 use crate::record::{Budgeted, record};
-
-/// How long what a peer says of a roll-out counts.
-const PEER_KEPT: Duration = Duration::from_secs(3);
+use crate::rollouts::Watched;
 
 /// A request is stopped after this many servers died of it: many callers send
 /// alike requests here, so that two deaths can be chance.
@@ -121,32 +116,6 @@
     }
 }
 
-/// A roll-out with what is known of it.
-#[derive(Debug)]
-pub(crate) struct Watched {
-    pub rollout: Rollout,
-    pub own: Tally,
-    pub peers: HashMap<Name, (Tally, Mono)>,
-    pub written: bool,
-    pub begun: bool,
-    pub due: Option<Mono>,
-}
-
-impl Watched {
-    /// What all instances have seen.
-    pub fn seen(&self, now: Mono) -> Tally {
-        let mut sum = self.own;
-        for (tally, at) in self.peers.values() {
-            let mut tally = *tally;
-            if now.saturating_sub(*at) > PEER_KEPT {
-                tally.old_open = 0;
-            }
-            sum.add(&tally);
-        }
-        sum
-    }
-}
-
 /// When an instance leaves.
 #[derive(Debug, Clone, Copy)]
 pub struct Leaving {
@@ -335,84 +304,6 @@
         self.sharers.get()
     }
 
-    /// Takes an order for a roll-out.
-    pub fn ordered(&self, order: Order) {
-        let mut rollouts = self.rollouts.borrow_mut();
-        let known = rollouts.get(&order.service).map(|watched| watched.rollout.order.revision);
-        if known.is_some_and(|revision| revision >= order.revision) {
-            return;
-        }
-        let fields = json!({
-            "service": &*order.service,
-            "to": &*order.to,
-            "duration_ms": order.duration.as_millis() as u64,
-            "revision": order.revision,
-        });
-        record("rollout_ordered", self.now(), fields);
-        let service = order.service.clone();
-        self.sessions.borrow_mut().watch(true, self.now());
-        let watched = Watched {
-            rollout: Rollout::new(order),
-            own: Tally::default(),
-            peers: HashMap::new(),
-            written: false,
-            begun: false,
-            due: None,
-        };
-        rollouts.insert(service, watched);
-    }
-
-    /// The revision of the newest order for a service.
-    pub(crate) fn rollout_revision(&self, service: &str) -> Option<u64> {
-        self.rollouts.borrow().get(service).map(|watched| watched.rollout.order.revision)
-    }
-
-    /// Takes the state that an order is known to have; `written` if it lasts.
-    pub fn settled(&self, service: &str, to: &str, state: RolloutState, written: bool) {
-        let mut rollouts = self.rollouts.borrow_mut();
-        let Some(watched) = rollouts.get_mut(service) else { return };
-        if state == RolloutState::InProgress {
-            watched.begun |= written;
-            return;
-        }
-        watched.written |= written && watched.rollout.state == state;
-        let rollout = &mut watched.rollout;
-        let open = rollout.state == RolloutState::InProgress;
-        if *rollout.order.to == *to && open {
-            rollout.state = state;
-            watched.written = written;
-            self.sessions.borrow_mut().watch(false, self.now());
-            let fields = json!({ "service": service, "to": to, "state": format!("{state:?}") });
-            record("rollout_settled", self.now(), fields);
-        }
-    }
-
-    /// Takes the age of an order, by which all instances go; one that starts
-    /// late learns it from a peer or from the store.
-    pub fn rollout_age(&self, service: &str, to: &str, age: Duration) {
-        let mut rollouts = self.rollouts.borrow_mut();
-        let Some(watched) = rollouts.get_mut(service) else { return };
-        let order = &mut watched.rollout.order;
-        let began = self.now().checked_sub(age).unwrap_or_default();
-        let before_start = age.saturating_sub(self.now());
-        if *order.to == *to && (began < order.began || before_start > order.before_start) {
-            order.began = began;
-            order.before_start = before_start;
-        }
-    }
-
-    /// The version that a request goes to while one is brought in.
-    pub(crate) fn side(&self, service: &Name, session: Option<u64>) -> Option<(Side, Name)> {
-        let now = self.now();
-        let rollouts = self.rollouts.borrow();
-        let watched = rollouts.get(service)?;
-        let sessions = self.sessions.borrow();
-        let kept = session.and_then(|session| sessions.version(session, now));
-        let place = session.map_or_else(|| self.draw(), policy::hash_unit);
-        let side = watched.rollout.side(place, kept, now);
-        Some((side, watched.rollout.order.to.clone()))
-    }
-
     /// How pressed the servers of a service are.
     pub(crate) fn pressure(&self, service: &Name) -> Pressure {
         self.pressures.borrow().get(service).copied().unwrap_or_default()
@@ -422,18 +313,4 @@
     pub(crate) fn pressed(&self, service: &Name, first_byte: Duration, aim: Duration) {
         self.pressures.borrow_mut().entry(service.clone()).or_default().answered(first_byte, aim);
     }
-
-    /// Counts an answer for the roll-out of its service.
-    pub(crate) fn seen(
-        &self,
-        service: &Name,
-        version: &Name,
-        bad: bool,
-        first_byte: Option<Duration>,
-    ) {
-        if let Some(watched) = self.rollouts.borrow_mut().get_mut(service) {
-            let side = if *version == watched.rollout.order.to { Side::New } else { Side::Old };
-            watched.own.answered(side, bad, first_byte);
-        }
-    }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! crate to servers and back, and [`Gateway`] holds what all of them share.
 //! A [`Dialect`] says how requests and answers are spelled on the wire.
 
+mod arrival;
 mod digest;
 mod events;
 mod exchange;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,7 +10,7 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 
-use crate::exchange::Job;
+use crate::arrival::Job;
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::wire::{Dialect, Facts, Forward};
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -11,8 +11,9 @@
 use http::Response;
 use tokio::sync::mpsc;
 
+use crate::arrival::Job;
 use crate::events::{Event, EventReader};
-use crate::exchange::{Job, Progress};
+use crate::exchange::Progress;
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::reply::{Cut, Reply};
