Tests: each process has a loopback address of its own

Cause: raw_two_requests_at_once_are_answered_in_order failed once, and under eight busy processes one of 250 raw scenarios: the process ended with 'callers' address 127.0.0.1:33943: Address already in use', since a port that is free when asked for can go to another test before the process binds it. Ruled out: the product, which reports the fault in one line and ends. Change: fixed ports on addresses of 127/8 that no two processes share.

--- a/tests/runner/node.rs
+++ b/tests/runner/node.rs
@@ -1,9 +1,10 @@
 //! A process of the product, started by its settings file.
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -43,10 +44,12 @@
 impl Node {
     /// Starts a process whose log goes to `log`.
     pub fn start(name: &str, store: SocketAddr, grace_s: f64, log: Stdio) -> Result<Node> {
-        let (callers, status, peers) = (free_port()?, free_port()?, free_port()?);
+        let ip = own_ip();
+        let at = |port| SocketAddr::new(ip, port);
+        let (callers, status, peers) = (at(7_001), at(7_002), at(7_003));
         let settings = json!({
             "node_name": name,
-            "ip": "127.0.0.1",
+            "ip": ip,
             "zone": "z1",
             "listen": { "frontend": callers, "readiness": status },
             "internal_ports": [peers.port(), peers.port()],
@@ -57,7 +60,7 @@
             },
             "unknown": { "field": [1, 2] },
         });
-        let file = format!("lacewingchute-{}-{}.json", std::process::id(), callers.port());
+        let file = format!("lacewingchute-{}-{ip}.json", std::process::id());
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, settings.to_string())?;
         let child = Command::new(env!("CARGO_BIN_EXE_lacewingchute"))
@@ -185,8 +188,13 @@
     Ok(Reply { status, whole, body, headers })
 }
 
-fn free_port() -> Result<SocketAddr> {
-    Ok(TcpListener::bind(("127.0.0.1", 0))?.local_addr()?)
+/// A loopback address that no other process of any test has: a free port could
+/// be taken by another test before the process has it.
+fn own_ip() -> IpAddr {
+    static STARTED: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = STARTED.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let test = std::process::id() % 200 + 20;
+    Ipv4Addr::new(127, test as u8, high, low).into()
 }
 
 /// Sends bytes on a new connection and reads until it ends.
