--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -14,7 +14,7 @@
 const SHARED_FROM: usize = 4;
 /// How long word counts that the store has answered: the reader's held call,
 /// its pause and two datagrams lost.
-const WORD_COUNTS: Duration = Duration::from_millis(1_150);
+pub const WORD_COUNTS: Duration = Duration::from_millis(1_150);
 /// How much longer each next instance in the order waits before it reads too.
 const STAGGER: Duration = Duration::from_millis(100);
 /// The place in the order from which the wait grows no more.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 
 use anyhow::{Context, Result, anyhow};
 use config::Name;
-use dispatch::Mono;
+use dispatch::{Mono, WORD_COUNTS};
 use policy::hash_parts;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -30,8 +30,6 @@
 const LOADS_ANYWAY: u32 = 5;
 /// How often the reader of a table tells its domain that the store answers.
 const TELL_ANSWERS_EVERY: Duration = Duration::from_millis(250);
-/// How long an answer of the store is told: as long as others go by it.
-const ANSWERS_TOLD_FOR: Duration = Duration::from_millis(1_150);
 /// Datagrams up to this length, in bytes, are sent at once.
 const ONE_PACKET: usize = 1_400;
 /// How fast longer ones are sent, in bytes a second: under half of a link of 10
@@ -201,7 +199,7 @@
             let answers = self.answers.borrow().clone();
             let words = answers.into_iter().filter_map(|(table, answered)| {
                 let age = now.saturating_sub(answered.at);
-                (age < ANSWERS_TOLD_FOR).then(|| Word {
+                (age < WORD_COUNTS).then(|| Word {
                     table: table.to_owned(),
                     known: answered.known,
                     age_ms: age.as_millis() as u64,
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dispatch::{ReadDuty, ReadStep};
+use dispatch::{ReadDuty, ReadStep, WORD_COUNTS};
 use gateway::{Known, Missing, Row, Word, words_of};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -168,7 +168,7 @@
             let one = &self.instances[at];
             let Some(answered) = one.answered.filter(|_| one.frozen <= self.now) else { continue };
             let age = self.now.saturating_sub(answered);
-            if age < Duration::from_millis(1_150) {
+            if age < WORD_COUNTS {
                 let known = one.known;
                 let age_ms = age.as_millis() as u64;
                 let table = "t".to_owned();
