Large domains have several readers of the store

Ruled out: the store (leaving acknowledged in 6 ms) and its rates. Change: groups of up to 24 by a hash of the address, one reader each; messages that fit one packet are not deflated. Tests: read_group_of_a_large_domain_is_small, read_group_of_a_small_domain_is_the_whole.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,7 +31,7 @@
 };
 pub use fleet::{Fleet, Outcome, PartKey, Report, Server, ServerInfo, Work};
 pub use place::{Ask, NoPlace, Part, Placement, place};
-pub use reading::{ReadDuty, ReadStep, WORD_COUNTS};
+pub use reading::{ReadDuty, ReadStep, WORD_COUNTS, read_group};
 pub use rollout::{Decision, Order, Phase, Rollout, RolloutState, Sample, Side, Tally, may_try};
 pub use sessions::Sessions;
 
--- a/crates/dispatch/src/reading.rs
+++ b/crates/dispatch/src/reading.rs
@@ -20,6 +20,16 @@
 /// The place in the order from which the wait grows no more.
 const LAST_STAGGER: u32 = 4;
 
+/// Instances for which one reads: it tells each change to each of them over a
+/// link of a few megabits a second, so that a larger domain has several readers.
+const GROUP: usize = 24;
+
+/// The group of an instance in a domain of so many, by a hash of its address.
+pub fn read_group(hash: u64, instances: usize) -> usize {
+    let groups = instances.div_ceil(GROUP).max(1);
+    (hash % groups as u64) as usize
+}
+
 /// What an instance does next to learn of changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReadStep {
--- a/crates/dispatch/tests/reading.rs
+++ b/crates/dispatch/tests/reading.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use dispatch::{ReadDuty, ReadStep};
+use dispatch::{ReadDuty, ReadStep, read_group};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -120,3 +120,24 @@
     }
     assert!(extra * 10 <= calls, "{extra} calls beside {calls} of the reader");
 }
+
+/// The load: a domain of 74 instances over links of ten megabits a second.
+#[test]
+fn read_group_of_a_large_domain_is_small() {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    for _ in 0..50 {
+        let mut sizes = std::collections::BTreeMap::<usize, usize>::new();
+        for _ in 0..74 {
+            *sizes.entry(read_group(rng.random(), 74)).or_default() += 1;
+        }
+        assert_eq!(sizes.len(), 4);
+        assert!(sizes.values().all(|size| (4..=36).contains(size)), "{sizes:?}");
+    }
+}
+
+#[test]
+fn read_group_of_a_small_domain_is_the_whole() {
+    for instances in [0, 1, 4, 24] {
+        assert_eq!(read_group(12_345_678_901, instances), 0);
+    }
+}
--- a/crates/gateway/src/packed.rs
+++ b/crates/gateway/src/packed.rs
@@ -13,8 +13,9 @@
 pub const LONGEST: usize = 60 << 10;
 /// The longest message once unpacked, in bytes; a packed one can't claim more memory.
 const LONGEST_MESSAGE: u64 = 512 << 10;
-/// From this length on a message is deflated.
-const DEFLATE_FROM: usize = 512;
+/// From this length on, in bytes, a message is deflated: what fits into one
+/// packet of the network is not worth the time.
+pub const DEFLATE_FROM: usize = 1_400;
 /// The first byte of a deflated message; JSON never begins with it.
 const DEFLATED: u8 = 1;
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 
 use anyhow::{Context, Result, anyhow};
 use config::Name;
-use dispatch::{Mono, WORD_COUNTS};
+use dispatch::{Mono, WORD_COUNTS, read_group};
 use policy::hash_parts;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -19,7 +19,7 @@
 
 use crate::digest::{Digest, Loads};
 use crate::gateway::Gateway;
-use crate::packed::{LONGEST, pack, unpack};
+use crate::packed::{DEFLATE_FROM, LONGEST, pack, unpack};
 use crate::words::{Known, Word};
 
 /// How often an instance tells its peers what changed.
@@ -31,7 +31,7 @@
 /// How often the reader of a table tells its domain that the store answers.
 const TELL_ANSWERS_EVERY: Duration = Duration::from_millis(250);
 /// Datagrams up to this length, in bytes, are sent at once.
-const ONE_PACKET: usize = 1_400;
+const ONE_PACKET: usize = DEFLATE_FROM;
 /// How fast longer ones are sent, in bytes a second: under half of a link of 10
 /// megabits a second, whose queue drops what comes in bursts.
 const PACE: f64 = 0.5e6;
@@ -105,11 +105,22 @@
         addrs.keys().filter(|addr| self.is_before(addr, chore)).count()
     }
 
-    /// The place of this instance among those of its domain, and their number.
+    /// The place of this instance among those for which one reads, and their number.
     pub(crate) fn place_near(&self, domain: &Name, chore: &str) -> (usize, usize) {
-        let near = self.near(domain);
-        let before = near.iter().filter(|addr| self.is_before(addr, chore)).count();
-        (before, near.len() + 1)
+        let group = self.read_group(domain);
+        let before = group.iter().filter(|addr| self.is_before(addr, chore)).count();
+        (before, group.len() + 1)
+    }
+
+    /// The other instances of the domain for which the same one reads.
+    fn read_group(&self, domain: &Name) -> Vec<SocketAddr> {
+        let mut near = self.near(domain);
+        let instances = near.len() + 1;
+        let group =
+            |addr: &SocketAddr| read_group(hash_parts(&[addr.to_string().as_bytes()]), instances);
+        let own = group(&self.own);
+        near.retain(|addr| group(addr) == own);
+        near
     }
 
     /// Whether another instance comes before this one in the order for a chore.
@@ -126,11 +137,11 @@
         receiver
     }
 
-    /// Tells the instances of the domain what this one has read.
+    /// Tells the instances for which this one reads what it has read.
     pub(crate) async fn tell_words(&self, domain: &Name, words: Vec<Word>) {
-        let near = self.near(domain);
+        let group = self.read_group(domain);
         for word in words {
-            self.send(&Message::Word(word), &near).await;
+            self.send(&Message::Word(word), &group).await;
         }
     }
 
