--- a/crates/fakes/src/http_server.rs
+++ b/crates/fakes/src/http_server.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 /// The body of an answer; an error in it breaks the connection.
 pub type AnswerBody = BoxBody<Bytes, std::io::Error>;
@@ -31,6 +32,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Connections {
     state: Arc<Mutex<State>>,
+    /// The listener and the open connections.
+    tasks: TaskTracker,
 }
 
 #[derive(Debug, Default)]
@@ -53,6 +56,12 @@
         self.state.lock().unwrap().listening.cancel();
     }
 
+    /// Waits until the server that was stopped has closed its sockets.
+    pub async fn ended(&self) {
+        self.tasks.close();
+        self.tasks.wait().await;
+    }
+
     /// Accepts connections again.
     pub fn admit(&self) {
         self.state.lock().unwrap().refusing = false;
@@ -73,7 +82,8 @@
     let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
     let addr = listener.local_addr()?;
     let listening = connections.state.lock().unwrap().listening.clone();
-    tokio::spawn(async move {
+    let tasks = connections.tasks.clone();
+    connections.tasks.clone().spawn(async move {
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
@@ -83,7 +93,7 @@
             let Ok((stream, _)) = accepted else { continue };
             let Some(alive) = connections.current() else { continue };
             let (handler, stop) = (handler.clone(), stop.clone());
-            tokio::spawn(async move {
+            tasks.spawn(async move {
                 let _ = stream.set_nodelay(true);
                 let service = service_fn(|request| answer(handler.clone(), request));
                 let connection = hyper::server::conn::http1::Builder::new()
--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -125,10 +125,11 @@
         self.connections.deafen();
     }
 
-    /// Breaks all connections and stops listening.
-    pub fn down(&self) {
+    /// Breaks all connections and stops listening; returns once both are done.
+    pub async fn down(&self) {
         self.connections.break_all();
         self.stop.cancel();
+        self.connections.ended().await;
     }
 }
 
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -23,7 +23,7 @@
 //!   `answer ID` then waits.
 //! - `expect STATUS [whole|cut] [body=TEXT] [events=A-B] [retry] [within=MS]`
 //!   checks the last answer.
-//! - `raw NODE TEXT` sends bytes (`\\s`, `\\r`, `\\n` stand for space and line ends)
+//! - `raw NODE TEXT` sends bytes (`\s`, `\r`, `\n` stand for space and line ends)
 //!   and reads until the connection ends; `says TEXT` and `lacks TEXT` check what
 //!   came, `answers N` how many answers.
 //! - `ran ID N [at=SERVER]`, `came ID N`, `header ID NAME VALUE|-` check what
@@ -115,7 +115,7 @@
             ["gone", id] => self.store.remove("servers", id),
             ["back", id] => self.list(id)?,
             ["other", id, new] => self.find(id)?.become_other(new),
-            ["down", id] => self.find(id)?.down(),
+            ["down", id] => self.find(id)?.down().await,
             ["dark", id] => self.find(id)?.dark(),
             ["fault", id, kind, ..] => self.find(id)?.fault(fault(kind, words.get(3))?),
             ["always", id, "none"] => self.find(id)?.always(None),
