Say things once: lapsed servers, turns, proofs, words

The gateway kept the last listing of each server beside the fleet's mark of those that lapsed; each order for a chore hashed the own address again for every peer, which it did not before; the words for a domain were made by instances that tell nobody, and the group was worked out every 250 ms to tell nothing; a request's proof was made twice; two loops went over the same roll-outs of a digest; a word carried a field that only its listener sets. Ruled out: the unread fields of services and engines in the catalog, whose reading also refuses configurations of another shape; summing peers' loads as differences, which could go wrong where a server is listed anew. Change: Gateway::listings and Fleet::listed are gone, lapsed_since asks the mark; before_own scores the own address once; change_rollout and turn_after serve what stood twice; Heard pairs a word with its teller's place; one constant for what fits into a packet; tests use the common moment.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -96,7 +96,8 @@
     judged: Mono,
     pauses: u32,
     paused_until: Mono,
-    lapsed: Option<Mono>,
+    /// When its entry lapsed in an outage of the store, unless it came back.
+    pub lapsed: Option<Mono>,
 }
 
 impl Server {
@@ -300,13 +301,6 @@
         }
     }
 
-    /// Notes that a server is listed, as it was before.
-    pub fn listed(&mut self, id: &str) {
-        if let Some(server) = self.find(id) {
-            server.lapsed = None;
-        }
-    }
-
     /// Notes that a server says that it leaves, or was found to be another one.
     pub fn leaving(&mut self, id: &str) {
         if let Some(server) = self.find(id) {
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -323,7 +323,7 @@
         (0..50).map(choose).collect::<std::collections::HashSet<_>>().len()
     };
     assert_eq!(both(&fleet, at(900)), 2);
-    fleet.listed("s1");
+    fleet.update(info("s1", "z1", "v1"));
     (0..6).for_each(|_| fleet.sent("s1", 0.0));
     assert_eq!(chosen(&fleet, &Wanted::default(), 0.1, at(1_100)).as_deref(), Ok("s1"));
     fleet.update(info("s0", "z1", "v1"));
--- a/crates/dispatch/tests/reading.rs
+++ b/crates/dispatch/tests/reading.rs
@@ -1,54 +1,53 @@
 //! Who reads the store for a failure domain.
 
+mod common;
+
 use std::time::Duration;
 
+use common::at;
 use dispatch::{ReadDuty, ReadStep, read_group};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
 #[test]
 fn step_few_instances_hold_their_own_feeds() {
     let mut duty = ReadDuty::default();
     for place in 0..3 {
-        assert_eq!(duty.step(place, 3, ms(100)), ReadStep::Hold);
+        assert_eq!(duty.step(place, 3, at(100)), ReadStep::Hold);
     }
 }
 
 #[test]
 fn step_first_in_order_reads() {
     let mut duty = ReadDuty::default();
-    duty.heard(ms(990), false);
-    assert_eq!(duty.step(0, 17, ms(1_000)), ReadStep::Read);
+    duty.heard(at(990), false);
+    assert_eq!(duty.step(0, 17, at(1_000)), ReadStep::Read);
 }
 
 #[test]
 fn step_others_listen_while_word_is_fresh() {
     let mut duty = ReadDuty::default();
-    duty.heard(ms(1_000), true);
-    assert!(matches!(duty.step(5, 17, ms(1_900)), ReadStep::Listen(_)));
+    duty.heard(at(1_000), true);
+    assert!(matches!(duty.step(5, 17, at(1_900)), ReadStep::Listen(_)));
 }
 
 #[test]
 fn step_old_word_told_late_changes_nothing() {
     let mut duty = ReadDuty::default();
-    duty.heard(ms(1_000), true);
-    let ReadStep::Listen(until) = duty.step(1, 17, ms(1_100)) else { panic!("it reads") };
-    duty.heard(ms(400), true);
-    assert_eq!(duty.step(1, 17, ms(1_200)), ReadStep::Listen(until));
+    duty.heard(at(1_000), true);
+    let ReadStep::Listen(until) = duty.step(1, 17, at(1_100)) else { panic!("it reads") };
+    duty.heard(at(400), true);
+    assert_eq!(duty.step(1, 17, at(1_200)), ReadStep::Listen(until));
 }
 
 /// The load: the reader is cut from the store, alive, and does not know yet.
 #[test]
 fn step_next_reads_in_time_when_word_stops() {
     // Changes must be in force within 2 s of their acknowledgement.
-    let bound = ms(2_000);
+    let bound = at(2_000);
     let mut duties = [ReadDuty::default(); 17];
     let mut first = None;
-    for now in (0..3_000).step_by(10).map(ms) {
+    for now in (0..3_000).step_by(10).map(at) {
         for (place, duty) in duties.iter_mut().enumerate().skip(1) {
             if now == Duration::ZERO {
                 duty.heard(now, true);
@@ -66,19 +65,19 @@
 #[test]
 fn step_two_that_read_settle_on_the_first() {
     let (mut second, mut third) = (ReadDuty::default(), ReadDuty::default());
-    assert_eq!(second.step(1, 17, ms(5_000)), ReadStep::Read);
-    assert_eq!(third.step(2, 17, ms(5_000)), ReadStep::Read);
-    second.heard(ms(5_010), false);
-    third.heard(ms(5_010), true);
-    assert_eq!(second.step(1, 17, ms(5_020)), ReadStep::Read);
-    assert!(matches!(third.step(2, 17, ms(5_020)), ReadStep::Listen(_)));
+    assert_eq!(second.step(1, 17, at(5_000)), ReadStep::Read);
+    assert_eq!(third.step(2, 17, at(5_000)), ReadStep::Read);
+    second.heard(at(5_010), false);
+    third.heard(at(5_010), true);
+    assert_eq!(second.step(1, 17, at(5_020)), ReadStep::Read);
+    assert!(matches!(third.step(2, 17, at(5_020)), ReadStep::Listen(_)));
 }
 
 #[test]
 fn step_later_one_that_reads_spares_an_earlier_one() {
     let mut second = ReadDuty::default();
-    second.heard(ms(5_000), false);
-    assert!(matches!(second.step(1, 17, ms(5_500)), ReadStep::Listen(_)));
+    second.heard(at(5_000), false);
+    assert!(matches!(second.step(1, 17, at(5_500)), ReadStep::Listen(_)));
 }
 
 /// The load: the store turns the first in the order away and serves the others.
@@ -86,12 +85,12 @@
 fn step_first_turned_away_leaves_it_to_the_next() {
     let (mut first, mut second) = (ReadDuty::default(), ReadDuty::default());
     first.answered(false);
-    assert_eq!(first.step(0, 17, ms(5_000)), ReadStep::Read);
-    assert_eq!(second.step(1, 17, ms(5_000)), ReadStep::Read);
-    first.heard(ms(5_010), false);
-    assert!(matches!(first.step(0, 17, ms(5_020)), ReadStep::Listen(_)));
+    assert_eq!(first.step(0, 17, at(5_000)), ReadStep::Read);
+    assert_eq!(second.step(1, 17, at(5_000)), ReadStep::Read);
+    first.heard(at(5_010), false);
+    assert!(matches!(first.step(0, 17, at(5_020)), ReadStep::Listen(_)));
     first.answered(true);
-    assert_eq!(first.step(0, 17, ms(5_030)), ReadStep::Read);
+    assert_eq!(first.step(0, 17, at(5_030)), ReadStep::Read);
 }
 
 /// The load: links that lose a tenth of the datagrams, for a minute.
@@ -101,8 +100,8 @@
     let mut duties = [ReadDuty::default(); 17];
     let mut calling = [Duration::ZERO; 17];
     let (mut answered, mut calls, mut extra) = (Duration::ZERO, 0, 0);
-    for now in (0..60_000).step_by(50).map(ms) {
-        if now - answered >= ms(700) {
+    for now in (0..60_000).step_by(50).map(at) {
+        if now - answered >= at(700) {
             answered = now;
             calls += 1;
         }
@@ -112,7 +111,7 @@
                 duty.heard(answered, true);
             }
             if now >= calling[place] && duty.step(place, 17, now) == ReadStep::Read {
-                calling[place] = now + ms(700);
+                calling[place] = now + at(700);
                 duty.heard(now, true);
                 extra += 1;
             }
--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -41,10 +41,10 @@
     head: Parts,
     body: Incoming,
     arrived: Mono,
-    proof: &Proof,
     id: &mut String,
 ) -> Result<Job<D>, Refusal> {
-    let refuse = |kind| Refusal::new(kind, proof);
+    let proof = Proof::at_arrival();
+    let refuse = |kind| Refusal::new(kind, &proof);
     let intake = gateway.dialect.intake(&head).map_err(refuse)?;
     *id = intake.id.clone();
     let catalog = gateway.catalog().ok_or_else(|| refuse(Kind::NotReady))?;
@@ -79,7 +79,7 @@
         body,
         arrived,
         deadline: arrived + patience,
-        proof: Proof::at_arrival(),
+        proof,
         fingerprint,
     })
 }
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -109,22 +109,18 @@
 
     pub(crate) fn told(&self, digest: Digest) {
         let now = self.now();
-        for seen in &digest.rollouts {
-            if self.rollout_revision(&seen.service) == Some(seen.revision) {
-                self.settled(&seen.service, &seen.to, seen.state, seen.written);
-                self.rollout_age(&seen.service, &seen.to, Duration::from_millis(seen.age_ms));
-            }
-        }
-        let mut rollouts = self.rollouts.borrow_mut();
         for seen in digest.rollouts {
-            let Some(watched) = rollouts.get_mut(&seen.service) else { continue };
-            if watched.rollout.order.revision != seen.revision {
+            if self.rollout_revision(&seen.service) != Some(seen.revision) {
                 continue;
             }
+            self.settled(&seen.service, &seen.to, seen.state, seen.written);
+            self.rollout_age(&seen.service, &seen.to, Duration::from_millis(seen.age_ms));
             let tally =
                 Tally { old: unpack(&seen.old), new: unpack(&seen.new), old_open: seen.old_open };
-            watched.begun |= seen.begun;
-            watched.peers.insert(digest.instance.clone(), (tally, now));
+            self.change_rollout(&seen.service, seen.revision, |watched| {
+                watched.begun |= seen.begun;
+                watched.peers.insert(digest.instance.clone(), (tally, now));
+            });
         }
         let mut poison = self.poison.borrow_mut();
         for (fingerprint, deaths) in digest.poison {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use config::Name;
 use dispatch::{Admission, Ask, Cascade, NoPlace, Outcome, PartKey, Repeat, Side, Verdict, place};
-use error::{Kind, Proof, Refusal};
+use error::{Kind, Refusal};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
@@ -57,12 +57,10 @@
     gateway.metrics.open.inc();
     let _open = OpenGuard(gateway.clone());
     let (head, body) = request.into_parts();
-    let proof = Proof::at_arrival();
     let mut id = String::new();
-    let answered = match admit(&gateway, head, body, arrived, &proof, &mut id).await {
+    let answered = match admit(&gateway, head, body, arrived, &mut id).await {
         Ok(job) => {
-            let job = Rc::new(Job { proof, ..job });
-            let answered = serve(&job).await;
+            let answered = serve(&Rc::new(job)).await;
             if let Ok(response) = &answered {
                 gateway.metrics.first_byte.observe((gateway.now() - arrived).as_secs_f64());
                 Metrics::count(&gateway.metrics.requests, status_word(response.status().as_u16()));
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -16,7 +16,7 @@
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::record::record;
-use crate::words::{Known, Missing, Word, words_of};
+use crate::words::{Heard, Known, Missing, words_of};
 
 /// How long a feed of one's own is held open.
 const HELD: Duration = Duration::from_secs(25);
@@ -176,7 +176,7 @@
     followed: Rc<Followed<T>>,
     table: &'static str,
     follower: F,
-    words: Receiver<Word>,
+    words: Receiver<Heard>,
     duty: ReadDuty,
     link: Link,
     known: Known,
@@ -232,7 +232,7 @@
         loop {
             tokio::select! {
                 answer = &mut asking => return answer,
-                Some(word) = self.words.recv() => self.take(word).await,
+                Some(heard) = self.words.recv() => self.take(heard).await,
             };
         }
     }
@@ -241,8 +241,8 @@
     async fn listen(&mut self, until: Mono) -> bool {
         let until = self.gateway.instant(until);
         match tokio::time::timeout_at(until, self.words.recv()).await {
-            Ok(Some(word)) => {
-                let behind = self.take(word).await;
+            Ok(Some(heard)) => {
+                let behind = self.take(heard).await;
                 if !behind {
                     self.told();
                 }
@@ -255,15 +255,15 @@
     /// Pauses; takes meanwhile what others tell.
     async fn pause(&mut self, pause: Duration) {
         let until = tokio::time::Instant::now() + pause;
-        while let Ok(Some(word)) = tokio::time::timeout_at(until, self.words.recv()).await {
-            self.take(word).await;
+        while let Ok(Some(heard)) = tokio::time::timeout_at(until, self.words.recv()).await {
+            self.take(heard).await;
         }
     }
 
     /// Takes what another instance read; returns whether something is missing.
-    async fn take(&mut self, word: Word) -> bool {
+    async fn take(&mut self, Heard { word, before }: Heard) -> bool {
         let now = self.gateway.now();
-        self.duty.heard(now.saturating_sub(Duration::from_millis(word.age_ms)), word.first);
+        self.duty.heard(now.saturating_sub(Duration::from_millis(word.age_ms)), before);
         if word.unsettled {
             self.link.regained = Some(now);
         }
@@ -290,13 +290,16 @@
         // What others told meanwhile can be newer.
         if page.revision > before.revision {
             self.known.advance(&page.rows, page.revision);
-            let words = words_of(self.table, &page.rows, before.changed, self.known, outage);
+            let words = match step {
+                ReadStep::Read => {
+                    words_of(self.table, &page.rows, before.changed, self.known, outage)
+                }
+                ReadStep::Hold | ReadStep::Listen(_) => Vec::new(),
+            };
             if any {
                 self.follower.change(page.rows, outage).await;
             }
-            if step == ReadStep::Read {
-                self.peers.tell_words(&self.gateway.setup.domain, words).await;
-            }
+            self.peers.tell_words(&self.gateway.setup.domain, words).await;
         }
         let gather = match step {
             ReadStep::Hold => F::GATHER,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -95,7 +95,6 @@
             catalog: RefCell::new(None),
             fleet: RefCell::default(),
             listed: Cell::new(false),
-            listings: RefCell::default(),
             sessions: RefCell::new(Sessions::new(setup.session_kept)),
             budget: RefCell::new(RetryBudget::new(
                 setup.retry_ratio,
@@ -146,7 +145,6 @@
     pub(crate) rollouts: RefCell<HashMap<Name, Watched>>,
     catalog: RefCell<Option<Arc<Catalog>>>,
     listed: Cell<bool>,
-    listings: RefCell<HashMap<Name, Mono>>,
     rng: RefCell<ChaCha8Rng>,
     draining: Cell<Option<Leaving>>,
     sharers: Cell<usize>,
@@ -226,12 +224,8 @@
 
     /// Takes over what the directory says of a server.
     pub fn server_listed(&self, info: ServerInfo) {
-        self.listings.borrow_mut().insert(info.id.clone(), self.now());
         let mut fleet = self.fleet.borrow_mut();
-        let known = fleet.get(&info.id).is_some_and(|server| server.info == info);
-        if known {
-            fleet.listed(&info.id);
-        } else {
+        if fleet.get(&info.id).is_none_or(|server| server.info != info) {
             let fields = json!({
                 "server": &*info.id,
                 "service": &*info.service,
@@ -240,14 +234,15 @@
                 "leaving": info.leaving,
             });
             self.lines.write("server_listed", self.now(), || fields);
-            fleet.update(info);
-            self.metrics.servers.set(fleet.ids().count() as i64);
         }
+        fleet.update(info);
+        self.metrics.servers.set(fleet.ids().count() as i64);
     }
 
-    /// Whether a server's entry was read since a moment.
-    pub fn listed_since(&self, id: &str, since: Mono) -> bool {
-        self.listings.borrow().get(id).is_some_and(|at| *at >= since)
+    /// Whether a server's entry lapsed at a moment or before, and did not come back.
+    pub fn lapsed_since(&self, id: &str, moment: Mono) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.get(id).and_then(|server| server.lapsed).is_some_and(|at| at <= moment)
     }
 
     /// Notes that a server's entry lapsed in an outage of the store.
@@ -260,7 +255,6 @@
     /// Forgets a server.
     pub fn server_gone(&self, id: &str) {
         let mut fleet = self.fleet.borrow_mut();
-        self.listings.borrow_mut().remove(id);
         if fleet.remove(id) {
             self.lines.write("server_gone", self.now(), || json!({ "server": id }));
             self.metrics.servers.set(fleet.ids().count() as i64);
--- a/crates/gateway/src/packed.rs
+++ b/crates/gateway/src/packed.rs
@@ -13,16 +13,16 @@
 pub const LONGEST: usize = 60 << 10;
 /// The longest message once unpacked, in bytes; a packed one can't claim more memory.
 const LONGEST_MESSAGE: u64 = 512 << 10;
-/// From this length on, in bytes, a message is deflated: what fits into one
-/// packet of the network is not worth the time.
-pub const DEFLATE_FROM: usize = 1_400;
+/// What fits into one packet of the network, in bytes; a shorter message is not
+/// worth the time to deflate it.
+pub const ONE_PACKET: usize = 1_400;
 /// The first byte of a deflated message; JSON never begins with it.
 const DEFLATED: u8 = 1;
 
 /// Packs a message.
 pub fn pack<T: Serialize>(message: &T) -> Result<Vec<u8>> {
     let plain = serde_json::to_vec(message)?;
-    if plain.len() < DEFLATE_FROM {
+    if plain.len() < ONE_PACKET {
         return Ok(plain);
     }
     let mut encoder = DeflateEncoder::new(vec![DEFLATED], Compression::fast());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,8 +19,8 @@
 
 use crate::digest::{Digest, Loads};
 use crate::gateway::Gateway;
-use crate::packed::{DEFLATE_FROM, LONGEST, pack, unpack};
-use crate::words::{Known, Word};
+use crate::packed::{LONGEST, ONE_PACKET, pack, unpack};
+use crate::words::{Heard, Known, Word};
 
 /// How often an instance tells its peers what changed.
 const TELL_EVERY: Duration = Duration::from_millis(400);
@@ -30,9 +30,7 @@
 const LOADS_ANYWAY: u32 = 5;
 /// How often the reader of a table tells its domain that the store answers.
 const TELL_ANSWERS_EVERY: Duration = Duration::from_millis(250);
-/// Datagrams up to this length, in bytes, are sent at once.
-const ONE_PACKET: usize = DEFLATE_FROM;
-/// How fast longer ones are sent, in bytes a second: under half of a link of 10
+/// How fast datagrams of more than one packet are sent, in bytes a second: under half of a link of 10
 /// megabits a second, whose queue drops what comes in bursts.
 const PACE: f64 = 0.5e6;
 /// Words that wait to be taken; more are dropped.
@@ -49,7 +47,7 @@
     addrs: RefCell<BTreeMap<SocketAddr, Option<Name>>>,
     greetings: Cell<u32>,
     socket: OnceCell<UdpSocket>,
-    listeners: RefCell<BTreeMap<&'static str, Sender<Word>>>,
+    listeners: RefCell<BTreeMap<&'static str, Sender<Heard>>>,
     answers: RefCell<BTreeMap<&'static str, Answered>>,
 }
 
@@ -101,15 +99,14 @@
     /// The place of this instance in the order for a chore; others take it over
     /// one after the other.
     pub fn rank(&self, chore: &str) -> usize {
-        let addrs = self.addrs.borrow();
-        addrs.keys().filter(|addr| self.is_before(addr, chore)).count()
+        let is_before = self.before_own(chore);
+        self.addrs.borrow().keys().filter(|addr| is_before(addr)).count()
     }
 
     /// The place of this instance among those for which one reads, and their number.
     pub(crate) fn place_near(&self, domain: &Name, chore: &str) -> (usize, usize) {
-        let group = self.read_group(domain);
-        let before = group.iter().filter(|addr| self.is_before(addr, chore)).count();
-        (before, group.len() + 1)
+        let (group, is_before) = (self.read_group(domain), self.before_own(chore));
+        (group.iter().filter(|addr| is_before(addr)).count(), group.len() + 1)
     }
 
     /// The other instances of the domain for which the same one reads.
@@ -123,15 +120,16 @@
         near
     }
 
-    /// Whether another instance comes before this one in the order for a chore.
-    fn is_before(&self, other: &SocketAddr, chore: &str) -> bool {
+    /// Tells which instances come before this one in the order for a chore.
+    fn before_own(&self, chore: &str) -> impl Fn(&SocketAddr) -> bool {
         let score =
-            |addr: &SocketAddr| hash_parts(&[chore.as_bytes(), addr.to_string().as_bytes()]);
-        score(other) < score(&self.own)
+            move |addr: &SocketAddr| hash_parts(&[chore.as_bytes(), addr.to_string().as_bytes()]);
+        let own = score(&self.own);
+        move |other| score(other) < own
     }
 
     /// Words of others on a table from now on.
-    pub(crate) fn subscribe(&self, table: &'static str) -> Receiver<Word> {
+    pub(crate) fn subscribe(&self, table: &'static str) -> Receiver<Heard> {
         let (sender, receiver) = channel(WAITING_WORDS);
         self.listeners.borrow_mut().insert(table, sender);
         receiver
@@ -139,6 +137,9 @@
 
     /// Tells the instances for which this one reads what it has read.
     pub(crate) async fn tell_words(&self, domain: &Name, words: Vec<Word>) {
+        if words.is_empty() {
+            return;
+        }
         let group = self.read_group(domain);
         for word in words {
             self.send(&Message::Word(word), &group).await;
@@ -216,7 +217,6 @@
                     age_ms: age.as_millis() as u64,
                     unsettled: answered.unsettled,
                     changes: None,
-                    first: false,
                 })
             });
             self.tell_words(&gateway.setup.domain, words.collect()).await;
@@ -258,11 +258,11 @@
                 gateway.set_members(self.members());
                 gateway.told(digest);
             }
-            Message::Word(mut word) => {
-                word.first = self.is_before(from, &word.table);
+            Message::Word(word) => {
+                let before = self.before_own(&word.table)(from);
                 let listeners = self.listeners.borrow();
                 let Some(listener) = listeners.get(&*word.table) else { return };
-                if let Err(error) = listener.try_send(word) {
+                if let Err(error) = listener.try_send(Heard { word, before }) {
                     // The next word shows what this one would have told.
                     log::debug!("a word of {from} is dropped: {error}");
                 }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -70,10 +70,8 @@
     loop {
         tokio::time::sleep(JUDGE_EVERY).await;
         for (order, age) in gateway.rollouts_new() {
-            if age >= WRITE_SPREAD * u32::try_from(peers.rank(&order.service)).unwrap_or(u32::MAX)
-                && store.begin(&order, age).await
-            {
-                gateway.set_begun(&order);
+            if age >= turn_after(peers.rank(&order.service)) && store.begin(&order, age).await {
+                gateway.change_rollout(&order.service, order.revision, |w| w.begun = true);
             }
         }
         for (order, state) in gateway.rollouts_due() {
@@ -86,12 +84,17 @@
             }
             if let Settled::As(state) = store.settle(&order, state).await {
                 gateway.settled(&order.service, &order.to, state, true);
-                gateway.set_written(&order);
+                gateway.change_rollout(&order.service, order.revision, |w| w.written = true);
             }
         }
     }
 }
 
+/// How long an instance of this rank leaves a write to those before it.
+fn turn_after(rank: usize) -> Duration {
+    WRITE_SPREAD * u32::try_from(rank).unwrap_or(u32::MAX)
+}
+
 impl<D> Gateway<D> {
     /// The orders of which nothing is written yet, with their ages.
     fn rollouts_new(&self) -> Vec<(Order, Duration)> {
@@ -101,11 +104,17 @@
             .collect()
     }
 
-    fn set_begun(&self, order: &Order) {
-        if let Some(watched) = self.rollouts.borrow_mut().get_mut(&order.service)
-            && watched.rollout.order.revision == order.revision
+    /// Changes what is known of an order, unless a newer one has come.
+    pub(crate) fn change_rollout(
+        &self,
+        service: &str,
+        revision: u64,
+        change: impl FnOnce(&mut Watched),
+    ) {
+        if let Some(watched) = self.rollouts.borrow_mut().get_mut(service)
+            && watched.rollout.order.revision == revision
         {
-            watched.begun = true;
+            change(watched);
         }
     }
 
@@ -143,15 +152,7 @@
         let Some(watched) = rollouts.get_mut(&order.service) else { return false };
         let now = self.now();
         let due = *watched.due.get_or_insert(now);
-        now.saturating_sub(due) >= WRITE_SPREAD * u32::try_from(rank).unwrap_or(u32::MAX)
-    }
-
-    fn set_written(&self, order: &Order) {
-        if let Some(watched) = self.rollouts.borrow_mut().get_mut(&order.service)
-            && watched.rollout.order.revision == order.revision
-        {
-            watched.written = true;
-        }
+        now.saturating_sub(due) >= turn_after(rank)
     }
 
     /// Takes an order for a roll-out.
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -83,10 +83,15 @@
     pub unsettled: bool,
     /// What changed, where it fits into a datagram.
     pub changes: Option<Changes>,
-    /// Whether the teller comes before the listener in the order of readers;
-    /// set by the listener.
-    #[serde(skip)]
-    pub first: bool,
+}
+
+/// A word as a listener gets it.
+#[derive(Debug)]
+pub(crate) struct Heard {
+    /// The word.
+    pub word: Word,
+    /// Whether the teller comes before the listener in the order of readers.
+    pub before: bool,
 }
 
 /// All changes between two revisions.
@@ -178,7 +183,7 @@
         let upto = if whole { known } else { Known { revision: last, changed: last } };
         let changes = Some(Changes { before, rows });
         let table = table.to_owned();
-        words.push(Word { table, known: upto, age_ms: 0, unsettled, changes, first: false });
+        words.push(Word { table, known: upto, age_ms: 0, unsettled, changes });
         before = last;
     }
     words
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -35,7 +35,8 @@
     answered: Option<Duration>,
     asking: Option<(u64, Duration)>,
     until: Duration,
-    inbox: Vec<Word>,
+    /// Words, and whether their teller comes before this one.
+    inbox: Vec<(Word, bool)>,
     /// Until when it neither runs nor hears.
     frozen: Duration,
     /// Until when the store does not answer it.
@@ -97,7 +98,7 @@
     fn tell(&mut self, from: usize, word: &Word) {
         for to in (0..INSTANCES).filter(|to| *to != from) {
             if self.rng.random::<f64>() >= self.loss && self.instances[to].frozen <= self.now {
-                self.instances[to].inbox.push(Word { first: from < to, ..word.clone() });
+                self.instances[to].inbox.push((word.clone(), from < to));
             }
         }
     }
@@ -108,10 +109,10 @@
             return;
         }
         let mut behind = false;
-        for word in std::mem::take(&mut self.instances[at].inbox) {
+        for (word, before) in std::mem::take(&mut self.instances[at].inbox) {
             let one = &mut self.instances[at];
             let age = Duration::from_millis(word.age_ms);
-            one.duty.heard(now.saturating_sub(age), word.first);
+            one.duty.heard(now.saturating_sub(age), before);
             match one.known.missing(&word) {
                 Missing::Nothing => {}
                 Missing::Told(rows) => one.take(&rows, word.known.revision),
@@ -172,8 +173,8 @@
                 let known = one.known;
                 let age_ms = age.as_millis() as u64;
                 let table = "t".to_owned();
-                let (unsettled, first, changes) = (false, false, None);
-                self.tell(at, &Word { table, known, age_ms, unsettled, changes, first });
+                let (unsettled, changes) = (false, None);
+                self.tell(at, &Word { table, known, age_ms, unsettled, changes });
             }
         }
     }
--- a/crates/gateway/tests/words.rs
+++ b/crates/gateway/tests/words.rs
@@ -11,7 +11,7 @@
 }
 
 fn word(known: Known) -> Word {
-    Word { table: "t".into(), known, age_ms: 0, unsettled: false, changes: None, first: false }
+    Word { table: "t".into(), known, age_ms: 0, unsettled: false, changes: None }
 }
 
 fn known(revision: u64, changed: u64) -> Known {
