--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`Cascade`]: which model answers first, and when a larger one is asked instead;
 //! - [`RetryBudget`]: whether a request may be sent again;
 //! - [`Rollout`]: which version of a service gets a request;
-//! - [`ReaderElection`]: which instance reads the store for its failure domain.
+//! - [`ReaderElection`]: which instance reads the store for the others.
 
 mod admission;
 mod budget;
@@ -31,7 +31,7 @@
 };
 pub use fleet::{Fleet, LoadReport, Outcome, PromptPartKey, Server, ServerInfo, ServerLoad};
 pub use place::{Placement, PlacementError, PlacementRequest, PromptPart, place};
-pub use reader_election::{FeedMode, READER_TIMEOUT, ReaderElection, reader_group};
+pub use reader_election::{FeedMode, READER_TIMEOUT, ReaderElection};
 pub use rollout::{
     Decision, Phase, Rollout, RolloutOrder, RolloutState, RolloutStats, Sample, Side, in_canary,
 };
--- a/crates/dispatch/src/reader_election.rs
+++ b/crates/dispatch/src/reader_election.rs
@@ -1,4 +1,4 @@
-//! Elects the instance that reads a table of the store for its failure domain.
+//! Elects the instance that reads a table of the store for all.
 //!
 //! If every instance asked the store for the same changes, calls and bytes would grow
 //! with instances times changes. Instead one instance reads for all and forwards what
@@ -8,7 +8,7 @@
 
 use crate::MonotonicTime;
 
-/// Minimum number of instances in a domain at which one reads for all. With fewer,
+/// Minimum number of instances at which one reads for all. With fewer,
 /// long-polling feeds of their own cost fewer calls than the reader's short ones.
 const MIN_SHARED_INSTANCES: usize = 4;
 /// How long after an answer of the store other instances refrain from reading: covers
@@ -17,27 +17,15 @@
 /// Additional delay before each next instance in the order starts to read.
 const STAGGER: Duration = Duration::from_millis(100);
 /// Position in the order after which the delay no longer grows.
-const MAX_STAGGER_STEPS: u32 = 4;
-
-/// Target size of a reader group; a larger domain is split into several groups, each
-/// with its own reader. The reader sends each change to every instance of its group
-/// over a link of a few megabits per second.
-const TARGET_GROUP_SIZE: usize = 24;
-
-/// Returns the reader group of an instance in a domain of `instances`, by a hash of
-/// its address.
-pub fn reader_group(hash: u64, instances: usize) -> usize {
-    let groups = instances.div_ceil(TARGET_GROUP_SIZE).max(1);
-    (hash % groups as u64) as usize
-}
+const MAX_STAGGER_STEPS: u32 = 100;
 
 /// How an instance receives the next changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FeedMode {
     /// Long-poll the store for this instance only.
     OwnFeed,
-    /// Poll the store with short calls and forward the changes to the domain.
-    ReadForDomain,
+    /// Poll the store with short calls and forward the changes.
+    ReadForOthers,
     /// Wait for the reader's updates until this time.
     Listen(MonotonicTime),
 }
@@ -70,10 +58,10 @@
     }
 
     /// Returns how to receive the next changes, given this instance's position in the
-    /// order of the domain's instances.
+    /// order of the instances.
     pub fn next_mode(&mut self, position: usize, instances: usize, now: MonotonicTime) -> FeedMode {
         let mode = self.choose(position, instances, now);
-        self.reading = mode == FeedMode::ReadForDomain && !self.failing;
+        self.reading = mode == FeedMode::ReadForOthers && !self.failing;
         mode
     }
 
@@ -82,13 +70,13 @@
             return FeedMode::OwnFeed;
         }
         if position == 0 && !self.failing {
-            return FeedMode::ReadForDomain;
+            return FeedMode::ReadForOthers;
         }
         let delay = STAGGER
             * u32::try_from(position).map_or(MAX_STAGGER_STEPS, |n| n.min(MAX_STAGGER_STEPS));
         match self.last_answer.map(|answered| answered + READER_TIMEOUT + delay) {
             Some(until) if until > now => FeedMode::Listen(until),
-            _ => FeedMode::ReadForDomain,
+            _ => FeedMode::ReadForOthers,
         }
     }
 }
--- a/crates/dispatch/tests/reader_election.rs
+++ b/crates/dispatch/tests/reader_election.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::at;
-use dispatch::{FeedMode, ReaderElection, reader_group};
+use dispatch::{FeedMode, ReaderElection};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -21,7 +21,7 @@
 fn next_mode_first_in_order_reads() {
     let mut election = ReaderElection::default();
     election.record_peer_answer(at(990), false);
-    assert_eq!(election.next_mode(0, 17, at(1_000)), FeedMode::ReadForDomain);
+    assert_eq!(election.next_mode(0, 17, at(1_000)), FeedMode::ReadForOthers);
 }
 
 #[test]
@@ -55,7 +55,7 @@
             if now == Duration::ZERO {
                 election.record_peer_answer(now, true);
             }
-            if election.next_mode(position, 17, now) == FeedMode::ReadForDomain {
+            if election.next_mode(position, 17, now) == FeedMode::ReadForOthers {
                 first = first.or(Some((position, now)));
             }
         }
@@ -68,11 +68,11 @@
 #[test]
 fn next_mode_two_readers_settle_on_the_first() {
     let (mut second, mut third) = (ReaderElection::default(), ReaderElection::default());
-    assert_eq!(second.next_mode(1, 17, at(5_000)), FeedMode::ReadForDomain);
-    assert_eq!(third.next_mode(2, 17, at(5_000)), FeedMode::ReadForDomain);
+    assert_eq!(second.next_mode(1, 17, at(5_000)), FeedMode::ReadForOthers);
+    assert_eq!(third.next_mode(2, 17, at(5_000)), FeedMode::ReadForOthers);
     second.record_peer_answer(at(5_010), false);
     third.record_peer_answer(at(5_010), true);
-    assert_eq!(second.next_mode(1, 17, at(5_020)), FeedMode::ReadForDomain);
+    assert_eq!(second.next_mode(1, 17, at(5_020)), FeedMode::ReadForOthers);
     assert!(matches!(third.next_mode(2, 17, at(5_020)), FeedMode::Listen(_)));
 }
 
@@ -88,12 +88,12 @@
 fn next_mode_refused_reader_yields_to_the_next() {
     let (mut first, mut second) = (ReaderElection::default(), ReaderElection::default());
     first.record_own_answer(false);
-    assert_eq!(first.next_mode(0, 17, at(5_000)), FeedMode::ReadForDomain);
-    assert_eq!(second.next_mode(1, 17, at(5_000)), FeedMode::ReadForDomain);
+    assert_eq!(first.next_mode(0, 17, at(5_000)), FeedMode::ReadForOthers);
+    assert_eq!(second.next_mode(1, 17, at(5_000)), FeedMode::ReadForOthers);
     first.record_peer_answer(at(5_010), false);
     assert!(matches!(first.next_mode(0, 17, at(5_020)), FeedMode::Listen(_)));
     first.record_own_answer(true);
-    assert_eq!(first.next_mode(0, 17, at(5_030)), FeedMode::ReadForDomain);
+    assert_eq!(first.next_mode(0, 17, at(5_030)), FeedMode::ReadForOthers);
 }
 
 /// For one minute, a tenth of the datagrams are lost; lost updates must not make the
@@ -115,7 +115,7 @@
                 election.record_peer_answer(answered, true);
             }
             if now >= busy_until[position]
-                && election.next_mode(position, 17, now) == FeedMode::ReadForDomain
+                && election.next_mode(position, 17, now) == FeedMode::ReadForOthers
             {
                 busy_until[position] = now + at(700);
                 election.record_peer_answer(now, true);
@@ -126,24 +126,15 @@
     assert!(extra * 10 <= calls, "{extra} calls besides {calls} by the reader");
 }
 
-/// A domain of 74 instances, whose links of 10 megabits per second are too slow for a
-/// single reader.
+/// An outage of the store: instances far back in the order do not all begin to call it.
 #[test]
-fn reader_group_of_a_large_domain_is_small() {
-    let mut rng = ChaCha8Rng::seed_from_u64(11);
-    for _ in 0..50 {
-        let mut sizes = std::collections::BTreeMap::<usize, usize>::new();
-        for _ in 0..74 {
-            *sizes.entry(reader_group(rng.random(), 74)).or_default() += 1;
-        }
-        assert_eq!(sizes.len(), 4);
-        assert!(sizes.values().all(|size| (4..=36).contains(size)), "{sizes:?}");
-    }
-}
-
-#[test]
-fn reader_group_of_a_small_domain_is_the_whole() {
-    for instances in [0, 1, 4, 24] {
-        assert_eq!(reader_group(12_345_678_901, instances), 0);
+fn next_mode_outage_wakes_few_instances() {
+    let mut elections = [ReaderElection::default(); 195];
+    let mut reading = 0;
+    for (position, election) in elections.iter_mut().enumerate() {
+        election.record_peer_answer(at(1_000), true);
+        let mode = election.next_mode(position, 195, at(3_000));
+        reading += usize::from(mode == FeedMode::ReadForOthers);
     }
+    assert!((2..=10).contains(&reading), "{reading} instances read");
 }
--- a/crates/error/src/kind.rs
+++ b/crates/error/src/kind.rs
@@ -156,7 +156,7 @@
             Kind::Overloaded => retryable(429, 1_000, "The queue is too long for this request."),
             Kind::QueueExpired => retryable(503, 1_000, "The request waited until its deadline."),
             Kind::StoreOut => retryable(503, 2_000, "The table service does not answer."),
-            Kind::NotReady => retryable(503, 1_000, "The instance has no configuration yet."),
+            Kind::NotReady => retryable(503, 400, "The instance has no configuration yet."),
             Kind::CutOff => retryable(503, 2_000, "The instance cannot confirm its configuration."),
             Kind::Draining => retryable(503, 100, "The instance is shutting down."),
             Kind::BillsFull => retryable(503, 2_000, "Too many bills wait for the table service."),
--- a/crates/fakes/src/site_store.rs
+++ b/crates/fakes/src/site_store.rs
@@ -121,6 +121,11 @@
         self.state.tables.lock().unwrap().open_feeds.get(table).copied().unwrap_or(0)
     }
 
+    /// The number of calls so far, by path.
+    pub fn all_calls(&self) -> HashMap<String, u64> {
+        self.state.tables.lock().unwrap().calls.clone()
+    }
+
     /// The number of calls to a path so far.
     pub fn calls(&self, path: &str) -> u64 {
         self.state.tables.lock().unwrap().calls.get(path).copied().unwrap_or(0)
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::Gateway;
+use crate::rollouts::StatsSource;
 
 /// Maximum number of crash counts of requests in one datagram.
 const MAX_POISON: usize = 32;
@@ -21,13 +22,25 @@
     pub servers: Vec<(Name, u32, u32)>,
 }
 
-/// State of an instance that concerns all other instances.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Digest {
-    instance: Name,
+/// Whose state a digest describes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Scope {
+    /// One instance's; sent to its hub.
+    Instance,
+    /// That of all instances of a failure domain; sent from hub to hub.
+    Domain,
+    /// What all instances need to know; sent by a hub to its domain.
+    Installation,
+}
+
+/// State that concerns all instances.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Digest {
+    pub scope: Scope,
+    /// Failure domain of the sender.
     pub domain: Name,
-    /// Address at which the sender receives datagrams.
-    pub from: Option<SocketAddr>,
+    /// Distinguishes the sender's process from earlier ones at its address.
+    pub incarnation: u64,
     rollouts: Vec<RolloutReport>,
     /// Fingerprints of requests, with the number of servers that crashed while running
     /// them.
@@ -47,59 +60,104 @@
     written: bool,
     /// Whether the start of the order is stored.
     begun: bool,
+    /// Whether the sender knows what the store holds of the order.
+    status_known: bool,
     age_ms: u64,
-    /// Encoded [`Sample`] of the old version.
-    old: [f64; 4],
-    /// Encoded [`Sample`] of the new version.
-    new: [f64; 4],
-    /// Requests of the sender in flight on the old version.
-    old_open: u32,
+    /// Answers of both versions; `None` within [`Scope::Installation`].
+    counts: Option<AnswerCounts>,
+}
+
+/// Answers of both versions of a rollout.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct AnswerCounts {
+    old: EncodedSample,
+    new: EncodedSample,
+    /// Requests in flight on the old version.
+    old_in_flight: u32,
+}
+
+/// A [`Sample`] with whole milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct EncodedSample {
+    answers: u32,
+    bad: u32,
+    timed: u32,
+    time_ms: u64,
 }
 
 impl Digest {
     /// Whether two digests are equal except for the ages of orders, which always grow
     /// and so are no reason to send a digest.
     pub fn same_except_age(&self, other: &Digest) -> bool {
-        let without_ages = |digest: &Digest| {
-            let mut digest = digest.clone();
-            digest.rollouts.iter_mut().for_each(|report| report.age_ms = 0);
-            digest
-        };
-        without_ages(self) == without_ages(other)
+        let mut aged = other.clone();
+        for (report, own) in aged.rollouts.iter_mut().zip(&self.rollouts) {
+            report.age_ms = own.age_ms;
+        }
+        aged == *self
+    }
+
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.rollouts.is_empty() && self.poison.is_empty() && self.sessions.is_empty()
+    }
+
+    /// Whether it reports a rollout that is in progress.
+    pub fn has_rollout_in_progress(&self) -> bool {
+        self.rollouts.iter().any(|report| report.state == RolloutState::InProgress)
     }
 }
 
 impl<D> Gateway<D> {
-    /// Returns this instance's state and takes the sessions that were not sent yet.
-    pub(crate) fn digest(&self, from: SocketAddr) -> Digest {
+    /// Returns the state to report, without sessions.
+    pub(crate) fn digest(&self, scope: Scope, incarnation: u64) -> Digest {
+        let now = self.now();
         let rollouts = self.rollouts.borrow();
-        let reports = rollouts.values().map(|tracked| RolloutReport {
-            service: tracked.rollout.order.service.clone(),
-            to: tracked.rollout.order.to.clone(),
-            revision: tracked.rollout.order.revision,
-            state: tracked.rollout.state,
-            written: tracked.final_state_stored,
-            begun: tracked.start_stored,
-            age_ms: tracked.rollout.age(self.now()).as_millis() as u64,
-            old: encode_sample(&tracked.own_stats.old),
-            new: encode_sample(&tracked.own_stats.new),
-            old_open: self.old_in_flight(&tracked.rollout.order.service, &tracked.rollout.order.to),
-        });
-        let poison = self.poison.borrow();
-        let sessions = self.sessions.borrow_mut().take_pending();
+        let mut reports: Vec<RolloutReport> = rollouts
+            .values()
+            .map(|tracked| {
+                let order = &tracked.rollout.order;
+                let mut stats = match scope {
+                    Scope::Instance => Some(tracked.own_stats),
+                    Scope::Domain => Some(tracked.domain_stats(now)),
+                    Scope::Installation => None,
+                };
+                if let Some(stats) = &mut stats {
+                    stats.old_in_flight += self.old_in_flight(&order.service, &order.to);
+                }
+                RolloutReport {
+                    service: order.service.clone(),
+                    to: order.to.clone(),
+                    revision: order.revision,
+                    state: tracked.rollout.state,
+                    written: tracked.final_state_stored,
+                    begun: tracked.start_stored,
+                    status_known: tracked.status_known,
+                    age_ms: tracked.rollout.age(now).as_millis() as u64,
+                    counts: stats.as_ref().map(AnswerCounts::new),
+                }
+            })
+            .collect();
+        reports.sort_by(|a, b| a.service.cmp(&b.service));
+        let mut poison: Vec<(u64, u32)> =
+            self.poison.borrow().crash_counts().take(MAX_POISON).collect();
+        poison.sort_unstable();
         Digest {
-            instance: self.settings.instance.clone(),
+            scope,
             domain: self.settings.domain.clone(),
-            from: Some(from),
-            rollouts: reports.collect(),
-            poison: poison.crash_counts().take(MAX_POISON).collect(),
-            sessions: sessions
-                .into_iter()
-                .filter(|(session, _)| in_canary(hash_unit(*session)))
-                .collect(),
+            incarnation,
+            rollouts: reports,
+            poison,
+            sessions: Vec::new(),
         }
     }
 
+    /// Takes the sessions of the canary that were not sent yet.
+    pub(crate) fn take_sessions(&self) -> Vec<(u64, Name)> {
+        let mut sessions = self.sessions.borrow_mut().take_pending();
+        sessions.retain(|(session, _)| in_canary(hash_unit(*session)));
+        sessions
+    }
+
     /// Returns this instance's loads, sorted by server so that they can be compared.
     pub(crate) fn own_loads(&self) -> Loads {
         let mut servers: Vec<(Name, u32, u32)> = self
@@ -122,24 +180,28 @@
         self.fleet.borrow_mut().set_peer_loads(&loads.instance, servers.collect(), now);
     }
 
-    /// Applies the digest of another instance; ignores reports on rollouts whose
-    /// revision differs from the one known here.
-    pub(crate) fn apply_digest(&self, digest: Digest) {
+    /// Applies a digest of another instance; ignores reports on rollouts whose revision
+    /// differs from the one known here.
+    pub(crate) fn apply_digest(&self, digest: Digest, from: SocketAddr) {
         let now = self.now();
+        let source = match digest.scope {
+            Scope::Domain => StatsSource::Domain(digest.domain),
+            Scope::Instance | Scope::Installation => {
+                StatsSource::Instance(from, digest.incarnation)
+            }
+        };
         for report in digest.rollouts {
             if self.rollout_revision(&report.service) != Some(report.revision) {
                 continue;
             }
             self.set_rollout_state(&report.service, &report.to, report.state, report.written);
             self.set_rollout_age(&report.service, &report.to, Duration::from_millis(report.age_ms));
-            let stats = RolloutStats {
-                old: decode_sample(&report.old),
-                new: decode_sample(&report.new),
-                old_in_flight: report.old_open,
-            };
             self.update_rollout(&report.service, report.revision, |tracked| {
                 tracked.start_stored |= report.begun;
-                tracked.peer_stats.insert(digest.instance.clone(), (stats, now));
+                tracked.status_known |= report.status_known;
+                if let Some(counts) = &report.counts {
+                    tracked.peer_stats.insert(source.clone(), (counts.stats(), now));
+                }
             });
         }
         let mut poison = self.poison.borrow_mut();
@@ -161,12 +223,32 @@
     }
 }
 
-fn encode_sample(sample: &Sample) -> [f64; 4] {
-    let Sample { answers, bad, timed, time_ms } = *sample;
-    [f64::from(answers), f64::from(bad), f64::from(timed), time_ms]
+impl AnswerCounts {
+    fn new(stats: &RolloutStats) -> Self {
+        AnswerCounts {
+            old: EncodedSample::new(&stats.old),
+            new: EncodedSample::new(&stats.new),
+            old_in_flight: stats.old_in_flight,
+        }
+    }
+
+    fn stats(&self) -> RolloutStats {
+        RolloutStats {
+            old: self.old.sample(),
+            new: self.new.sample(),
+            old_in_flight: self.old_in_flight,
+        }
+    }
 }
 
-fn decode_sample(encoded: &[f64; 4]) -> Sample {
-    let [answers, bad, timed, time_ms] = *encoded;
-    Sample { answers: answers as u32, bad: bad as u32, timed: timed as u32, time_ms }
+impl EncodedSample {
+    fn new(sample: &Sample) -> Self {
+        let Sample { answers, bad, timed, time_ms } = *sample;
+        EncodedSample { answers, bad, timed, time_ms: time_ms as u64 }
+    }
+
+    fn sample(&self) -> Sample {
+        let EncodedSample { answers, bad, timed, time_ms } = *self;
+        Sample { answers, bad, timed, time_ms: time_ms as f64 }
+    }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,10 +1,11 @@
-//! Follows tables of the store, either through a long-polled feed or through the
-//! updates of the domain's reader.
+//! Follows tables of the store, either through a long-polled feed or through the updates
+//! of the instance that reads for all.
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +18,8 @@
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::updates::{KnownRevision, ReceivedUpdate, UpdateEffect, split_updates};
+use crate::table::{Row, TableCopy, TableDelta};
+use crate::updates::{KnownRevision, ReceivedUpdate, TableUpdate, UpdateEffect, split_updates};
 
 /// Maximum duration of a long poll for this instance's own feed.
 const FEED_WAIT: Duration = Duration::from_secs(25);
@@ -32,9 +34,23 @@
 /// Maximum backoff, short enough that changes take effect in time once the store is
 /// available again.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// Maximum backoff of an instance whose hub calls the store as well.
+const MAX_BACKOFF_BEHIND_HUB: Duration = Duration::from_secs(6);
 /// How long the follower of a table waits for another table's follower to find the
 /// store available again.
 const PROBE_WAIT: Duration = Duration::from_secs(3);
+/// How long after its start an instance looks for another that has a table before it
+/// reads the store, unless the whole installation starts for the first time.
+const PEER_PATIENCE: Duration = Duration::from_millis(120);
+/// How long it waits before it asks others again meanwhile.
+const PEER_RETRY: Duration = Duration::from_millis(30);
+/// How long a starting instance waits for news of a table before it asks others again.
+const LOAD_RETRY: Duration = Duration::from_millis(250);
+/// How long after its start an instance that knows few others waits before it reads a
+/// table: others may not have been heard from yet.
+const MIN_LOAD_DELAY: Duration = Duration::from_millis(600);
+/// Interval at which a listening instance checks whether it is its turn to read.
+const ROLE_CHECK: Duration = Duration::from_millis(300);
 /// How long after an outage other instances may still be reading the changes made
 /// during it.
 const SETTLING_TIME: Duration = Duration::from_secs(1);
@@ -71,17 +87,6 @@
     }
 }
 
-/// A row of a table.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Row {
-    /// Key.
-    pub key: String,
-    /// Value; `None` if the row was deleted.
-    pub value: Option<Vec<u8>>,
-    /// Revision of its last change.
-    pub revision: u64,
-}
-
 /// Rows as of one revision.
 #[derive(Debug)]
 pub struct Page {
@@ -145,6 +150,7 @@
         table: &'static str,
         follower: F,
     ) {
+        peers.tables.borrow_mut().insert(table, TableCopy::default());
         let task = FollowTask {
             updates: peers.subscribe(table),
             gateway,
@@ -154,7 +160,6 @@
             follower,
             election: ReaderElection::default(),
             health: StoreHealth::default(),
-            known: KnownRevision::default(),
         };
         task.run().await;
     }
@@ -187,40 +192,183 @@
     updates: Receiver<ReceivedUpdate>,
     election: ReaderElection,
     health: StoreHealth,
-    known: KnownRevision,
 }
 
 impl<D, T: Tables, F: Follower> FollowTask<D, T, F> {
     async fn run(mut self) {
+        if self.peers.first_start {
+            self.peers.joined().await;
+            // Counts as an answer to another instance: the one whose turn it is to read
+            // gets the time to do so.
+            self.election.record_peer_answer(self.gateway.now(), true);
+        }
+        self.load().await;
+        loop {
+            self.follow_feed().await;
+            while !self.read_table().await {}
+        }
+    }
+
+    /// Loads the whole table: from another instance or else from the store.
+    ///
+    /// At the first start of the installation the instance whose turn it is reads for
+    /// all. Later, callers are waiting, so that an instance which finds no other that
+    /// has the table reads at once.
+    async fn load(&mut self) {
+        let mut source = None;
         loop {
-            match self.shared.store.read(self.table).await {
-                Ok(page) => {
-                    let outage = self.call_succeeded();
-                    self.known = KnownRevision { revision: page.revision, changed: page.revision };
-                    // Counts as an answer to another instance: after a full read, this
-                    // one need not read again for a while.
-                    self.election.record_peer_answer(self.gateway.now(), true);
-                    self.follower.replace(page.rows, outage).await;
-                    self.follow_feed().await;
+            if let Some(delta) = self.fetch(source).await {
+                self.log_loaded("peer", delta.known.revision, delta.rows.len());
+                return self.apply_delta(delta).await;
+            }
+            let now = self.gateway.now();
+            if !self.peers.first_start {
+                if now >= PEER_PATIENCE && self.read_table().await {
+                    return;
                 }
-                Err(error) => self.call_failed(&error).await,
+                source = self.next_sender(PEER_RETRY).await;
+                continue;
+            }
+            let (position, instances) = self.peers.reader_position(self.table, now);
+            match self.election.next_mode(position, instances, now) {
+                FeedMode::Listen(_) => source = self.next_sender(LOAD_RETRY).await,
+                FeedMode::OwnFeed if now < MIN_LOAD_DELAY => {
+                    source = self.next_sender(LOAD_RETRY).await;
+                }
+                FeedMode::OwnFeed | FeedMode::ReadForOthers if self.read_table().await => return,
+                FeedMode::OwnFeed | FeedMode::ReadForOthers => {}
+            }
+        }
+    }
+
+    /// Waits for an update from an instance that knows the table, and returns its
+    /// sender; `None` after some time without one.
+    async fn next_sender(&mut self, patience: Duration) -> Option<SocketAddr> {
+        let until = tokio::time::Instant::now() + patience;
+        loop {
+            let received = tokio::time::timeout_at(until, self.updates.recv()).await.ok()??;
+            self.record_reader(&received);
+            if received.update.known.revision > 0 {
+                return Some(received.from);
+            }
+        }
+    }
+
+    /// Reads the whole table from the store; returns whether this succeeded.
+    async fn read_table(&mut self) -> bool {
+        let page = match self.shared.store.read(self.table).await {
+            Ok(page) => page,
+            Err(error) => {
+                self.call_failed(&error).await;
+                return false;
             }
+        };
+        let outage = self.call_succeeded();
+        let now = self.gateway.now();
+        let known = KnownRevision { revision: page.revision, changed: page.revision };
+        self.log_loaded("store", page.revision, page.rows.len());
+        self.replace(page.rows, known, outage).await;
+        // An instance that starts later reads for itself only.
+        let is_reader = self.peers.first_start || self.peers.is_hub(now);
+        self.peers.record_answer(self.table, now, self.health.is_settling(now), is_reader);
+        if is_reader {
+            let announcement = TableUpdate::announce(self.table, known, outage);
+            self.peers.send_updates(vec![announcement], true, now).await;
+        }
+        true
+    }
+
+    fn log_loaded(&self, source: &str, revision: u64, rows: usize) {
+        let fields =
+            json!({ "table": self.table, "source": source, "revision": revision, "rows": rows });
+        log_event("table_loaded", self.gateway.now(), fields);
+    }
+
+    /// Replaces all rows.
+    async fn replace(&mut self, rows: Vec<Row>, known: KnownRevision, after_outage: bool) {
+        if let Some(copy) = self.peers.tables.borrow_mut().get_mut(self.table) {
+            copy.replace(&rows, known);
+        }
+        self.follower.replace(rows, after_outage).await;
+    }
+
+    /// Applies changed rows up to a revision.
+    async fn change(&mut self, rows: Vec<Row>, revision: u64, after_outage: bool) {
+        if let Some(copy) = self.peers.tables.borrow_mut().get_mut(self.table) {
+            copy.change(&rows, revision);
+        }
+        if !rows.is_empty() {
+            self.follower.change(rows, after_outage).await;
+        }
+    }
+
+    /// The revision up to which the table is known.
+    fn known(&self) -> KnownRevision {
+        self.peers.known(self.table)
+    }
+
+    /// Fetches what changed from another instance.
+    async fn fetch(&mut self, source: Option<SocketAddr>) -> Option<TableDelta> {
+        let (peers, gateway) = (self.peers.clone(), self.gateway.clone());
+        let (since, now) = (self.known().revision, gateway.now());
+        let fetching = peers.fetch(&gateway.pool, self.table, since, source, now);
+        tokio::pin!(fetching);
+        let delta = loop {
+            tokio::select! {
+                delta = &mut fetching => break delta,
+                Some(received) = self.updates.recv() => self.record_reader(&received),
+            }
+        };
+        let how = if delta.is_some() { "fetched" } else { "not_fetched" };
+        Metrics::count(&self.gateway.metrics.table_updates, how);
+        delta
+    }
+
+    /// Applies what was fetched, and passes it on if this instance is a hub.
+    async fn apply_delta(&mut self, delta: TableDelta) {
+        let TableDelta { known, unsettled, complete, rows } = delta;
+        if known.revision <= self.known().revision {
+            return;
+        }
+        if unsettled {
+            self.health.recovered_at = Some(self.gateway.now());
+        }
+        if complete {
+            self.replace(rows, known, unsettled).await;
+        } else {
+            self.change(rows, known.revision, unsettled).await;
+        }
+        let announcement = TableUpdate::announce(self.table, self.known(), unsettled);
+        self.pass_on(vec![announcement]).await;
+    }
+
+    /// Sends updates to the instances of the domain if this instance is its hub.
+    async fn pass_on(&self, updates: Vec<TableUpdate>) {
+        let now = self.gateway.now();
+        if self.peers.is_hub(now) {
+            self.peers.send_updates(updates, false, now).await;
         }
     }
 
     /// Applies changes until the history needed to continue has been compacted.
     async fn follow_feed(&mut self) {
-        let domain = self.gateway.settings.domain.clone();
         loop {
-            let (position, instances) = self.peers.group_position(&domain, self.table);
-            let mode = self.election.next_mode(position, instances, self.gateway.now());
+            let now = self.gateway.now();
+            let (position, instances) = self.peers.reader_position(self.table, now);
+            let mode = self.election.next_mode(position, instances, now);
             let result = match mode {
                 FeedMode::OwnFeed => self.request_changes(FEED_WAIT).await,
-                FeedMode::ReadForDomain => self.request_changes(READER_FEED_WAIT).await,
-                FeedMode::Listen(until) if self.listen(until).await => {
-                    self.request_changes(Duration::ZERO).await
-                }
-                FeedMode::Listen(_) => continue,
+                FeedMode::ReadForOthers => self.request_changes(READER_FEED_WAIT).await,
+                FeedMode::Listen(until) => match self.listen(until).await {
+                    Some(source) => match self.fetch(Some(source)).await {
+                        Some(delta) => {
+                            self.apply_delta(delta).await;
+                            continue;
+                        }
+                        None => self.request_changes(Duration::ZERO).await,
+                    },
+                    None => continue,
+                },
             };
             match result {
                 Ok(page) => self.apply_page(page, mode).await,
@@ -237,30 +385,29 @@
     /// answer arrives.
     async fn request_changes(&mut self, wait: Duration) -> Result<Page, StoreError> {
         let shared = self.shared.clone();
-        let call = shared.store.feed(self.table, self.known.revision, wait);
+        let call = shared.store.feed(self.table, self.known().revision, wait);
         tokio::pin!(call);
         loop {
             tokio::select! {
                 answer = &mut call => return answer,
-                Some(received) = self.updates.recv() => self.apply_update(received).await,
+                Some(received) = self.updates.recv() => {
+                    self.apply_update(received).await;
+                }
             };
         }
     }
 
-    /// Waits for one update, at most until a time; returns whether rows are missing that
-    /// must be read from the store.
-    async fn listen(&mut self, until: MonotonicTime) -> bool {
-        let until = self.gateway.instant(until);
-        match tokio::time::timeout_at(until, self.updates.recv()).await {
-            Ok(Some(received)) => {
-                let behind = self.apply_update(received).await;
-                if !behind {
-                    self.reset_failures_after_update();
-                }
-                behind
-            }
-            Ok(None) | Err(_) => false,
+    /// Waits for one update, at most until a time; returns its sender if rows are
+    /// missing.
+    async fn listen(&mut self, until: MonotonicTime) -> Option<SocketAddr> {
+        // A change of role is noticed in time.
+        let until = self.gateway.instant(until.min(self.gateway.now() + ROLE_CHECK));
+        let received = tokio::time::timeout_at(until, self.updates.recv()).await.ok()??;
+        let source = self.apply_update(received).await;
+        if source.is_none() {
+            self.reset_failures_after_update();
         }
+        source
     }
 
     /// Pauses and applies updates of other instances meanwhile.
@@ -271,58 +418,62 @@
         }
     }
 
-    /// Applies an update of another instance; returns whether rows are missing.
-    async fn apply_update(
-        &mut self,
-        ReceivedUpdate { update, from_earlier }: ReceivedUpdate,
-    ) -> bool {
+    /// Records what an update says of the instance that reads the table.
+    fn record_reader(&mut self, received: &ReceivedUpdate) {
         let now = self.gateway.now();
-        self.election.record_peer_answer(
-            now.saturating_sub(Duration::from_millis(update.age_ms)),
-            from_earlier,
-        );
+        let answered = now.saturating_sub(Duration::from_millis(received.update.age_ms));
+        self.election.record_peer_answer(answered, received.from_earlier);
+        if received.from_outside {
+            self.peers.record_answer(self.table, answered, received.update.unsettled, false);
+        }
+    }
+
+    /// Applies an update of another instance; returns its sender if rows are missing.
+    async fn apply_update(&mut self, received: ReceivedUpdate) -> Option<SocketAddr> {
+        self.record_reader(&received);
+        let ReceivedUpdate { update, from, .. } = received;
         if update.unsettled {
-            self.health.recovered_at = Some(now);
+            self.health.recovered_at = Some(self.gateway.now());
         }
-        let effect = self.known.effect_of(&update);
+        let before = self.known();
+        let effect = match self.peers.tables.borrow_mut().get_mut(self.table) {
+            Some(copy) => copy.known.effect_of(&update),
+            None => UpdateEffect::None,
+        };
         Metrics::count(&self.gateway.metrics.table_updates, effect.name());
         match effect {
-            UpdateEffect::None => false,
+            UpdateEffect::None => None,
             UpdateEffect::Rows(rows) => {
-                self.known.advance(&rows, update.known.revision);
-                self.follower.change(rows, update.unsettled).await;
-                false
+                self.change(rows.clone(), update.known.revision, update.unsettled).await;
+                let (known, unsettled) = (self.known(), update.unsettled);
+                let updates = split_updates(self.table, &rows, before.changed, known, unsettled);
+                self.pass_on(updates).await;
+                None
             }
-            UpdateEffect::Gap => true,
+            UpdateEffect::Gap => Some(from),
         }
     }
 
-    /// Applies an answer of the store and forwards it if this instance reads for its
-    /// domain.
+    /// Applies an answer of the store and forwards it if this instance reads for others.
     async fn apply_page(&mut self, page: Page, mode: FeedMode) {
         let now = self.gateway.now();
         let recovered = self.call_succeeded();
-        let outage = recovered || (mode != FeedMode::ReadForDomain && self.health.is_settling(now));
-        let before = self.known;
+        let outage = recovered || (mode != FeedMode::ReadForOthers && self.health.is_settling(now));
+        let before = self.known();
         let has_rows = !page.rows.is_empty();
         // Updates applied during the call may be newer than its answer.
         if page.revision > before.revision {
-            self.known.advance(&page.rows, page.revision);
-            let updates = match mode {
-                FeedMode::ReadForDomain => {
-                    split_updates(self.table, &page.rows, before.changed, self.known, outage)
-                }
-                FeedMode::OwnFeed | FeedMode::Listen(_) => Vec::new(),
-            };
-            if has_rows {
-                self.follower.change(page.rows, outage).await;
+            self.change(page.rows.clone(), page.revision, outage).await;
+            if mode == FeedMode::ReadForOthers {
+                let updates =
+                    split_updates(self.table, &page.rows, before.changed, self.known(), outage);
+                self.peers.send_updates(updates, true, now).await;
             }
-            self.peers.send_updates(&self.gateway.settings.domain, updates).await;
         }
         let window = match mode {
             FeedMode::OwnFeed => F::BATCH_WINDOW,
-            FeedMode::ReadForDomain => {
-                self.peers.record_answer(self.table, self.known, now, self.health.is_settling(now));
+            FeedMode::ReadForOthers => {
+                self.peers.record_answer(self.table, now, self.health.is_settling(now), true);
                 READER_BATCH_WINDOW
             }
             FeedMode::Listen(_) => return,
@@ -340,7 +491,11 @@
         }
         Metrics::count(&self.gateway.metrics.store_calls, error.name());
         self.election.record_own_answer(false);
-        let pause = (MIN_BACKOFF * 2u32.pow(self.health.failures.min(4))).min(MAX_BACKOFF);
+        let max_backoff = match self.peers.relies_on_hub(self.gateway.now()) {
+            true => MAX_BACKOFF_BEHIND_HUB,
+            false => MAX_BACKOFF,
+        };
+        let pause = (MIN_BACKOFF * 2u32.pow(self.health.failures.min(6))).min(max_backoff);
         self.health.failures += 1;
         if self.shared.is_prober(self.table) {
             self.pause(pause.mul_f64(0.5 + self.gateway.random() / 2.0)).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,6 +29,10 @@
 /// The delay after a connection broke before the server is probed.
 const CRASH_PROBE_DELAY: Duration = Duration::from_millis(30);
 
+/// How long after its start an instance waits to learn how far the rollouts are before it
+/// is ready.
+const MAX_ROLLOUT_WAIT: Duration = Duration::from_secs(3);
+
 /// The settings of a gateway, fixed at startup.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -279,6 +283,7 @@
     pub fn ready(&self) -> bool {
         self.directory_loaded.get()
             && self.catalog.borrow().is_some()
+            && (self.rollout_states_known() || self.now() >= MAX_ROLLOUT_WAIT)
             && self.drain_schedule.get().is_none()
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,8 @@
-//! Exchange of state between instances by UDP datagrams.
+//! Exchange of state between instances.
 //!
-//! Datagrams are sent only while there is something to report: digests and loads when
-//! they change, recent answers of the store periodically. Counts are totals rather than
+//! Small messages are datagrams; long tables are fetched over TCP. Who sends to whom
+//! follows from the [`members`] crate: instances report to the hub of their failure
+//! domain, hubs tell their domain and each other. Counts are totals rather than
 //! differences, so the next datagram makes up for a lost one.
 
 use std::cell::{Cell, OnceCell, RefCell};
@@ -12,134 +13,220 @@
 
 use anyhow::{Context, Result, anyhow};
 use config::Name;
-use dispatch::{MonotonicTime, READER_TIMEOUT, reader_group};
-use policy::hash_parts;
+use dispatch::{MonotonicTime, READER_TIMEOUT};
+use members::{Envelope, Member, Membership, Role};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 
-use crate::digest::{Digest, Loads};
+use crate::digest::{Digest, Loads, Scope};
+use crate::fetch::serve_state;
 use crate::gateway::Gateway;
-use crate::packed::{MAX_DATAGRAM, MAX_UNFRAGMENTED, pack, unpack};
+use crate::packed::{MAX_DATAGRAM, MAX_UNFRAGMENTED, pack_datagram, unpack};
+use crate::rollouts::Coverage;
+use crate::table::TableCopy;
 use crate::updates::{KnownRevision, ReceivedUpdate, TableUpdate};
 
-/// Interval at which changed state is sent to all peers.
-const DIGEST_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval at which due membership messages are sent.
+const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which changed state is sent.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of intervals after which unchanged state is sent again while it matters to
+/// receivers that it is recent, or that may have just started.
+const DIGEST_REFRESH_TICKS: u32 = 4;
 /// Interval at which an instance sends its load on the servers to its domain.
 const LOADS_INTERVAL: Duration = Duration::from_millis(120);
 /// Number of intervals after which unchanged loads are sent again, so that they do not
 /// expire at the receivers.
 const LOADS_REFRESH_TICKS: u32 = 5;
-/// Interval at which the reader of a table reports to its domain that the store
-/// answers.
+/// Interval at which recent answers of the store are reported.
 const ANSWERS_INTERVAL: Duration = Duration::from_millis(250);
-/// Send rate for datagrams larger than one packet, in bytes per second: less than
-/// half of a link of 10 megabits per second, whose queue drops bursts.
-const SEND_RATE: f64 = 0.5e6;
+/// Fraction of the own link that bursts of datagrams longer than one packet may take;
+/// a full link drops them.
+const BURST_LINK_FRACTION: f64 = 0.4;
+/// How many positions an instance that hears its hub stays behind one that does not, in
+/// the order of a table's readers: hubs tell it when the store answers any of them.
+const POSITIONS_BEHIND_HUB: usize = 50;
+/// Number of instances from which on even small domains share one reader.
+const LARGE_INSTALLATION: usize = 12;
 /// Capacity of the queue of received updates of a table; further ones are dropped.
 const UPDATE_QUEUE_LEN: usize = 64;
 /// Maximum number of sessions in one datagram.
-const MAX_SESSIONS: usize = 120;
-/// Number of intervals after new addresses were added in which a digest is sent even
-/// if nothing changed.
-const HELLO_INTERVALS: u32 = 3;
+const MAX_SESSIONS: usize = 400;
 
 /// The other instances of the installation.
 #[derive(Debug)]
 pub struct Peers {
+    membership: RefCell<Membership>,
+    incarnation: u64,
     own: SocketAddr,
-    /// Addresses of the others, with their failure domains once known.
-    addrs: RefCell<BTreeMap<SocketAddr, Option<Name>>>,
-    /// Number of intervals in which a digest is still sent even if nothing changed.
-    hellos_left: Cell<u32>,
+    /// Bytes per second at which bursts of long datagrams are sent.
+    burst_rate: f64,
+    /// Whether the whole installation starts for the first time.
+    pub(crate) first_start: bool,
+    /// Whether the join is complete, successful or not.
+    joined: Cell<bool>,
+    join_completed: Notify,
     socket: OnceCell<UdpSocket>,
     /// Queues of received updates, by table.
     update_queues: RefCell<BTreeMap<&'static str, Sender<ReceivedUpdate>>>,
     /// Newest answers of the store, by table.
     answers: RefCell<BTreeMap<&'static str, StoreAnswer>>,
+    /// Tables that this instance follows.
+    pub(crate) tables: RefCell<BTreeMap<&'static str, TableCopy>>,
+    /// Sessions for the instances of the domain and for the other hubs.
+    domain_sessions: RefCell<SessionOutbox>,
+    hub_sessions: RefCell<SessionOutbox>,
+    /// Whether an instance has appeared that needs the state sent again.
+    newcomer: Cell<bool>,
 }
 
-/// Newest answer of the store for a table that this instance reads for its domain.
+/// Newest answer of the store for a table.
 #[derive(Debug, Clone, Copy)]
 struct StoreAnswer {
-    known: KnownRevision,
     at: MonotonicTime,
     /// See [`TableUpdate::unsettled`].
     unsettled: bool,
+    /// Whether the store answered this instance rather than one that reported it.
+    own: bool,
 }
 
-/// A message between instances, serialized under the names of its variants.
+/// Sessions to send. Each is sent twice, since datagrams can be lost.
+#[derive(Debug, Default)]
+struct SessionOutbox {
+    fresh: Vec<(u64, Name)>,
+    sent_once: Vec<(u64, Name)>,
+}
+
+impl SessionOutbox {
+    fn add(&mut self, sessions: &[(u64, Name)]) {
+        let free = MAX_SESSIONS.saturating_sub(self.fresh.len());
+        self.fresh.extend(sessions.iter().take(free).cloned());
+    }
+
+    fn take(&mut self) -> Vec<(u64, Name)> {
+        let fresh = std::mem::take(&mut self.fresh);
+        let mut sessions = std::mem::replace(&mut self.sent_once, fresh.clone());
+        sessions.extend(fresh);
+        sessions.truncate(MAX_SESSIONS);
+        sessions
+    }
+}
+
+/// A digest that is sent when it changes, and again after some time.
+#[derive(Debug, Default)]
+struct Sent {
+    digest: Option<Digest>,
+    unchanged_ticks: u32,
+}
+
+impl Sent {
+    /// Whether a digest is due now; if so, it counts as sent.
+    fn is_due(&mut self, digest: &Digest, refresh: bool) -> bool {
+        let changed = match &self.digest {
+            Some(last) => !digest.same_except_age(last),
+            None => !digest.is_empty(),
+        };
+        self.unchanged_ticks = if changed { 0 } else { self.unchanged_ticks + 1 };
+        if changed {
+            self.digest = Some(digest.clone());
+        }
+        changed || refresh && self.unchanged_ticks.is_multiple_of(DIGEST_REFRESH_TICKS)
+    }
+}
+
+/// A message between instances.
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
-    /// State for all instances.
+    /// Who is there.
+    Membership(members::Message),
+    /// State that concerns all instances.
     Digest(Digest),
     /// Server loads for the instances of the own domain.
     Loads(Loads),
-    /// State of a table, from the domain's reader.
-    #[serde(rename = "Word")]
+    /// State of a table.
     Update(TableUpdate),
 }
 
 impl Peers {
-    /// Creates the exchange of an instance that listens at `own` and knows no peers yet.
-    pub fn new(own: SocketAddr) -> Self {
+    /// Creates the exchange of an instance.
+    ///
+    /// `first_start` if the whole installation starts for the first time, so that no
+    /// caller waits for it yet.
+    pub fn new(membership: Membership, first_start: bool) -> Self {
+        let own = membership.own().clone();
         Peers {
-            own,
-            addrs: RefCell::default(),
-            hellos_left: Cell::new(0),
+            membership: RefCell::new(membership),
+            incarnation: own.incarnation,
+            own: own.addr,
+            burst_rate: f64::from(own.link_mbps.max(1)) * 1e6 / 8.0 * BURST_LINK_FRACTION,
+            first_start,
+            joined: Cell::new(false),
+            join_completed: Notify::new(),
             socket: OnceCell::new(),
             update_queues: RefCell::default(),
             answers: RefCell::default(),
+            tables: RefCell::default(),
+            domain_sessions: RefCell::default(),
+            hub_sessions: RefCell::default(),
+            newcomer: Cell::new(false),
         }
     }
 
-    /// Adds addresses and sends them digests in the next intervals, so that they learn of
-    /// this instance.
-    pub fn add(&self, addrs: impl IntoIterator<Item = SocketAddr>) {
-        let own = self.own;
-        for addr in addrs.into_iter().filter(|addr| *addr != own) {
-            self.addrs.borrow_mut().entry(addr).or_default();
-        }
-        self.hellos_left.set(HELLO_INTERVALS);
+    /// Returns the own address.
+    pub(crate) fn own_addr(&self) -> SocketAddr {
+        self.own
+    }
+
+    /// Gives access to the membership.
+    pub(crate) fn membership(&self) -> std::cell::RefMut<'_, Membership> {
+        self.membership.borrow_mut()
     }
 
-    /// Returns the number of instances, including this one.
-    pub fn members(&self) -> usize {
-        self.addrs.borrow().len() + 1
+    /// Whether this instance acts as hub of its domain.
+    pub fn is_hub(&self, now: MonotonicTime) -> bool {
+        self.membership.borrow().is_hub(now)
     }
 
-    /// Returns the position of this instance in the order for a task: the first one
-    /// performs it, the others take over in this order.
-    pub fn rank(&self, task: &str) -> usize {
-        let precedes = self.precedes_own(task);
-        self.addrs.borrow().keys().filter(|addr| precedes(addr)).count()
+    /// Returns the place of this instance in the order for a task.
+    pub(crate) fn role(&self, task: &str, now: MonotonicTime) -> Role {
+        self.membership.borrow().role(task, now)
     }
 
-    /// Returns the position of this instance in its reader group and the size of the
-    /// group.
-    pub(crate) fn group_position(&self, domain: &Name, task: &str) -> (usize, usize) {
-        let (group, precedes) = (self.group_members(domain), self.precedes_own(task));
-        (group.iter().filter(|addr| precedes(addr)).count(), group.len() + 1)
+    /// Returns how many instances and domains the counts of a rollout must include.
+    pub(crate) fn coverage(&self, now: MonotonicTime) -> Coverage {
+        let membership = self.membership.borrow();
+        Coverage {
+            instances: membership.neighbours(now).len(),
+            domains: membership.other_domains(),
+        }
     }
 
-    /// Returns the other instances of the domain in the same reader group.
-    fn group_members(&self, domain: &Name) -> Vec<SocketAddr> {
-        let mut members = self.in_domain(domain);
-        let instances = members.len() + 1;
-        let group =
-            |addr: &SocketAddr| reader_group(hash_parts(&[addr.to_string().as_bytes()]), instances);
-        let own = group(&self.own);
-        members.retain(|addr| group(addr) == own);
-        members
+    /// Returns the position of this instance in the order of a table's readers, and the
+    /// number of instances that it can reach, at least those of its domain.
+    pub(crate) fn reader_position(&self, table: &str, now: MonotonicTime) -> (usize, usize) {
+        let membership = self.membership.borrow();
+        let position = match membership.role(table, now) {
+            Role::Hub(position) => position,
+            Role::Member(position) if membership.has_live_hub(now) => {
+                position + POSITIONS_BEHIND_HUB
+            }
+            Role::Member(position) => position,
+        };
+        let near = membership.domain_size(now);
+        let instances = match membership.instances(now) {
+            _ if membership.is_isolated(now) => 1,
+            all if all >= LARGE_INSTALLATION => all,
+            _ => near,
+        };
+        (position, instances)
     }
 
-    /// Returns a predicate for the instances that precede this one in the order for a
-    /// task.
-    fn precedes_own(&self, task: &str) -> impl Fn(&SocketAddr) -> bool {
-        let score =
-            move |addr: &SocketAddr| hash_parts(&[task.as_bytes(), addr.to_string().as_bytes()]);
-        let own = score(&self.own);
-        move |other| score(other) < own
+    /// Whether this instance can rely on the hub of its domain to reach the store.
+    pub(crate) fn relies_on_hub(&self, now: MonotonicTime) -> bool {
+        let membership = self.membership.borrow();
+        !membership.is_hub(now) && membership.has_live_hub(now)
     }
 
     /// Returns a queue that receives the updates of other instances for a table from now
@@ -150,27 +237,59 @@
         receiver
     }
 
-    /// Sends updates to the instances of the reader group.
-    pub(crate) async fn send_updates(&self, domain: &Name, updates: Vec<TableUpdate>) {
+    /// Completes once the instance has joined the others or has found none.
+    pub(crate) async fn joined(&self) {
+        while !self.joined.get() {
+            self.join_completed.notified().await;
+        }
+    }
+
+    /// Declares the join complete.
+    pub(crate) fn complete_join(&self) {
+        self.joined.set(true);
+        self.join_completed.notify_waiters();
+    }
+
+    /// Sends updates to the instances of the domain and, if `to_hubs`, to the other
+    /// hubs.
+    pub(crate) async fn send_updates(
+        &self,
+        updates: Vec<TableUpdate>,
+        to_hubs: bool,
+        now: MonotonicTime,
+    ) {
         if updates.is_empty() {
             return;
         }
-        let group = self.group_members(domain);
+        let mut receivers = Vec::new();
+        if to_hubs {
+            receivers = self.membership.borrow().foreign_hubs(now);
+        }
+        receivers.extend(self.membership.borrow().neighbours(now));
         for update in updates {
-            self.send(&Message::Update(update), &group).await;
+            self.send(&Message::Update(update), &receivers).await;
         }
     }
 
-    /// Records an answer of the store, which is reported to the domain until it is
+    /// Records an answer of the store, which is reported to other instances until it is
     /// too old.
     pub(crate) fn record_answer(
         &self,
         table: &'static str,
-        known: KnownRevision,
         at: MonotonicTime,
         unsettled: bool,
+        own: bool,
     ) {
-        self.answers.borrow_mut().insert(table, StoreAnswer { known, at, unsettled });
+        let mut answers = self.answers.borrow_mut();
+        if answers.get(table).is_none_or(|answer| answer.at <= at) {
+            answers.insert(table, StoreAnswer { at, unsettled, own });
+        }
+    }
+
+    /// Whether entries of a table that expired in an outage of the store may still be
+    /// listed again.
+    pub(crate) fn is_unsettled(&self, table: &str) -> bool {
+        self.answers.borrow().get(table).is_some_and(|answer| answer.unsettled)
     }
 
     /// Binds the socket and starts the tasks that send and receive until the process
@@ -179,35 +298,78 @@
         let socket = UdpSocket::bind(self.own).await;
         let socket = socket.with_context(|| format!("cannot bind peer address {}", self.own))?;
         self.socket.set(socket).map_err(|_| anyhow!("peer exchange is already running"))?;
+        serve_state(self.clone(), gateway.clone()).await?;
         tokio::task::spawn_local(self.clone().receive(gateway.clone()));
+        tokio::task::spawn_local(self.clone().run_membership(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_loads(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_answers(gateway.clone()));
         tokio::task::spawn_local(self.send_digests(gateway));
         Ok(())
     }
 
+    /// Tells the others that this instance shuts down.
+    pub async fn leave<D>(&self, gateway: &Gateway<D>) {
+        let farewell = self.membership.borrow_mut().leave(gateway.now());
+        self.send_envelopes(farewell).await;
+    }
+
+    /// Greets members listed in the store.
+    pub(crate) async fn greet(&self, members: &[Member], now: MonotonicTime) {
+        let greetings = self.membership.borrow_mut().add_listed(members, now);
+        self.send_envelopes(greetings).await;
+    }
+
+    async fn run_membership<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
+        loop {
+            let now = gateway.now();
+            let due = self.membership.borrow_mut().tick(now);
+            gateway.set_members(self.membership.borrow().instances(now));
+            self.send_envelopes(due).await;
+            tokio::time::sleep(MEMBERSHIP_INTERVAL).await;
+        }
+    }
+
     async fn send_digests<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
-        let mut last_sent = Digest::default();
-        let mut previous_sessions = Vec::new();
+        let (mut to_hub, mut to_hubs, mut to_domain) =
+            (Sent::default(), Sent::default(), Sent::default());
         loop {
             tokio::time::sleep(DIGEST_INTERVAL).await;
-            let mut digest = gateway.digest(self.own);
-            // Each session is sent twice, since datagrams can be lost.
-            let sessions = digest.sessions.clone();
-            digest.sessions.append(&mut previous_sessions);
-            digest.sessions.truncate(MAX_SESSIONS);
-            previous_sessions = sessions;
-            let sends_hello = self.hellos_left.get() > 0;
-            self.hellos_left.set(self.hellos_left.get().saturating_sub(1));
-            if digest.same_except_age(&last_sent) && !sends_hello {
+            let now = gateway.now();
+            let own_sessions = gateway.take_sessions();
+            self.hub_sessions.borrow_mut().add(&own_sessions);
+            if !self.is_hub(now) {
+                let mut digest = gateway.digest(Scope::Instance, self.incarnation);
+                digest.sessions = self.hub_sessions.borrow_mut().take();
+                let refresh = digest.has_rollout_in_progress();
+                if to_hub.is_due(&digest, refresh) {
+                    let uplinks = self.membership.borrow().uplinks(now);
+                    self.send(&Message::Digest(digest), &uplinks).await;
+                }
                 continue;
             }
-            let addrs: Vec<SocketAddr> = self.addrs.borrow().keys().copied().collect();
-            self.send(&Message::Digest(digest.clone()), &addrs).await;
-            last_sent = digest;
+            self.domain_sessions.borrow_mut().add(&own_sessions);
+            let mut digest = gateway.digest(Scope::Domain, self.incarnation);
+            digest.sessions = self.hub_sessions.borrow_mut().take();
+            let refresh = digest.has_rollout_in_progress();
+            if to_hubs.is_due(&digest, refresh) {
+                let hubs = self.membership.borrow().foreign_hubs(now);
+                self.send(&Message::Digest(digest), &hubs).await;
+            }
+            let mut digest = self.installation_digest(&gateway);
+            digest.sessions = self.domain_sessions.borrow_mut().take();
+            let refresh = !digest.is_empty();
+            if to_domain.is_due(&digest, refresh) || self.newcomer.take() {
+                let neighbours = self.membership.borrow().neighbours(now);
+                self.send(&Message::Digest(digest), &neighbours).await;
+            }
         }
     }
 
+    /// Returns what all instances need to know, without sessions.
+    pub(crate) fn installation_digest<D>(&self, gateway: &Gateway<D>) -> Digest {
+        gateway.digest(Scope::Installation, self.incarnation)
+    }
+
     /// Sends this instance's load on the servers to the instances of its domain.
     async fn send_loads<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
         let mut last_sent = Loads::default();
@@ -220,37 +382,34 @@
             if unchanged_ticks > 0 && skip {
                 continue;
             }
-            let addrs = self.in_domain(&gateway.settings.domain);
+            let addrs = self.membership.borrow().neighbours(gateway.now());
             self.send(&Message::Loads(loads.clone()), &addrs).await;
             last_sent = loads;
         }
     }
 
-    /// Reports recent answers of the store to the reader group.
+    /// Reports recent answers of the store: a reader to its domain and the other hubs, a
+    /// hub to its domain.
     async fn send_answers<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
         loop {
             tokio::time::sleep(ANSWERS_INTERVAL).await;
             let now = gateway.now();
             let answers = self.answers.borrow().clone();
-            let updates = answers.into_iter().filter_map(|(table, answer)| {
+            for (table, answer) in answers {
                 let age = now.saturating_sub(answer.at);
-                (age < READER_TIMEOUT).then(|| TableUpdate {
-                    table: table.to_owned(),
-                    known: answer.known,
-                    age_ms: age.as_millis() as u64,
-                    unsettled: answer.unsettled,
-                    changes: None,
-                })
-            });
-            self.send_updates(&gateway.settings.domain, updates.collect()).await;
+                if age >= READER_TIMEOUT || !(answer.own || self.is_hub(now)) {
+                    continue;
+                }
+                let mut update = TableUpdate::announce(table, self.known(table), answer.unsettled);
+                update.age_ms = age.as_millis() as u64;
+                self.send_updates(vec![update], answer.own, now).await;
+            }
         }
     }
 
-    /// Returns the other instances of a domain.
-    fn in_domain(&self, domain: &Name) -> Vec<SocketAddr> {
-        let addrs = self.addrs.borrow();
-        let in_domain = addrs.iter().filter(|(_, other)| other.as_ref() == Some(domain));
-        in_domain.map(|(addr, _)| *addr).collect()
+    /// Returns the revision up to which this instance knows a table.
+    pub(crate) fn known(&self, table: &str) -> KnownRevision {
+        self.tables.borrow().get(table).map(|copy| copy.known).unwrap_or_default()
     }
 
     async fn receive<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
@@ -259,7 +418,7 @@
         loop {
             match socket.recv_from(&mut buffer).await {
                 Ok((length, from)) => match unpack(&buffer[..length]) {
-                    Ok(message) => self.handle(&gateway, message, &from),
+                    Ok(message) => self.handle(&gateway, message, from).await,
                     Err(error) => log::debug!("unreadable datagram from {from}: {error}"),
                 },
                 Err(error) => {
@@ -270,22 +429,35 @@
         }
     }
 
-    fn handle<D>(&self, gateway: &Gateway<D>, message: Message, from: &SocketAddr) {
+    async fn handle<D>(&self, gateway: &Gateway<D>, message: Message, from: SocketAddr) {
+        let now = gateway.now();
+        self.membership.borrow_mut().heard_from(&from, now);
         match message {
+            Message::Membership(message) => {
+                if matches!(message, members::Message::Hello(_)) {
+                    self.newcomer.set(true);
+                }
+                let answers = self.membership.borrow_mut().handle(message, now);
+                self.send_envelopes(answers).await;
+            }
             Message::Loads(loads) => gateway.apply_loads(loads),
             Message::Digest(digest) => {
-                if let Some(addr) = digest.from {
-                    let domain = Some(digest.domain.clone());
-                    self.addrs.borrow_mut().insert(addr, domain);
+                if self.is_hub(now) {
+                    self.domain_sessions.borrow_mut().add(&digest.sessions);
+                    if digest.scope == Scope::Instance {
+                        self.hub_sessions.borrow_mut().add(&digest.sessions);
+                    }
                 }
-                gateway.set_members(self.members());
-                gateway.apply_digest(digest);
+                gateway.apply_digest(digest, from);
             }
             Message::Update(update) => {
-                let from_earlier = self.precedes_own(&update.table)(from);
+                let membership = self.membership.borrow();
+                let from_earlier = membership.precedes(&from, &update.table, now);
+                let from_outside = !membership.is_neighbour(&from);
                 let update_queues = self.update_queues.borrow();
                 let Some(queue) = update_queues.get(&*update.table) else { return };
-                if let Err(error) = queue.try_send(ReceivedUpdate { update, from_earlier }) {
+                let received = ReceivedUpdate { update, from, from_earlier, from_outside };
+                if let Err(error) = queue.try_send(received) {
                     // The next update reveals the gap.
                     log::debug!("update from {from} dropped: {error}");
                 }
@@ -293,11 +465,17 @@
         }
     }
 
+    async fn send_envelopes(&self, envelopes: Vec<Envelope>) {
+        for Envelope { to, message } in envelopes {
+            self.send(&Message::Membership(message), &[to]).await;
+        }
+    }
+
     /// Sends a message to instances. Failed sends are not retried; the next message
     /// makes up for them.
     async fn send(&self, message: &Message, addrs: &[SocketAddr]) {
         let Some(socket) = self.socket.get() else { return };
-        let bytes = match pack(message) {
+        let bytes = match pack_datagram(message) {
             Ok(bytes) => bytes,
             Err(error) => return log::warn!("cannot encode message to peers: {error}"),
         };
@@ -306,7 +484,8 @@
                 log::debug!("cannot send datagram to {addr}: {error}");
             }
             if bytes.len() > MAX_UNFRAGMENTED {
-                tokio::time::sleep(Duration::from_secs_f64(bytes.len() as f64 / SEND_RATE)).await;
+                let pause = Duration::from_secs_f64(bytes.len() as f64 / self.burst_rate);
+                tokio::time::sleep(pause).await;
             }
         }
     }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -2,11 +2,15 @@
 
 use std::collections::HashMap;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use config::Name;
-use dispatch::{Decision, MonotonicTime, Rollout, RolloutOrder, RolloutState, RolloutStats, Side};
+use dispatch::{
+    Decision, MonotonicTime, Phase, Rollout, RolloutOrder, RolloutState, RolloutStats, Side,
+};
+use members::Role;
 use serde_json::json;
 
 use crate::event_log::log_event;
@@ -15,14 +19,39 @@
 
 /// Interval at which rollouts in progress are evaluated.
 const DECIDE_INTERVAL: Duration = Duration::from_millis(200);
-/// Additional delay of each further instance in the order before it writes itself, in
-/// case the preceding one does not.
+/// Additional delay of each further hub in the order before it writes itself, in case
+/// the preceding one does not.
 const WRITE_STAGGER: Duration = Duration::from_millis(900);
-
+/// Additional delay of each further hub before it reads the stored states.
+const READ_STAGGER: Duration = Duration::from_millis(400);
+/// How long an instance that is not a hub waits before it reads the stored states.
+const STATES_PATIENCE: Duration = Duration::from_secs(3);
+/// How long it waits while it starts.
+const START_PATIENCE: Duration = Duration::from_millis(200);
+/// How long after its start an instance asks others for the states.
+const STARTUP_TIME: Duration = Duration::from_secs(3);
+/// Name of the task of reading the states of all rollouts.
+const ROLLOUT_TASK: &str = "rollouts";
 /// How long a peer's count of requests in flight on the old version is valid. Its
 /// answer counts remain valid.
 const PEER_STATS_TTL: Duration = Duration::from_secs(3);
 
+/// Other instances and domains that may have requests in flight.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Coverage {
+    /// Number of other instances of this domain that are alive.
+    pub instances: usize,
+    /// Number of other domains.
+    pub domains: usize,
+}
+
+impl Coverage {
+    /// Whether counts of this many instances and domains are complete.
+    fn includes_all(&self, (instances, domains): (usize, usize)) -> bool {
+        instances >= self.instances && domains >= self.domains
+    }
+}
+
 /// Result of storing a rollout's final state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FinalStateResult {
@@ -34,6 +63,9 @@
 
 /// Durable storage of rollout states.
 pub trait RolloutStore {
+    /// Reads the stored states of all rollouts; `None` if the store does not answer.
+    fn read_states(&self) -> impl Future<Output = Option<Vec<StoredRollout>>>;
+
     /// Stores that an order of this age is in progress; returns whether this
     /// succeeded.
     fn store_start(&self, order: &RolloutOrder, age: Duration) -> impl Future<Output = bool>;
@@ -46,13 +78,39 @@
     ) -> impl Future<Output = FinalStateResult>;
 }
 
+/// State of a rollout as stored.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoredRollout {
+    /// The service.
+    pub service: Name,
+    /// The new version.
+    pub to: Name,
+    /// The state.
+    pub state: RolloutState,
+    /// Time since the order was issued, if it is stored.
+    pub age: Option<Duration>,
+}
+
+/// Where statistics of other instances come from.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) enum StatsSource {
+    /// A process, by its address and incarnation.
+    Instance(SocketAddr, u64),
+    /// All instances of another failure domain.
+    Domain(Name),
+}
+
 /// A rollout with the statistics and progress known to this instance.
 #[derive(Debug)]
 pub(crate) struct TrackedRollout {
     pub rollout: Rollout,
     pub own_stats: RolloutStats,
-    /// Statistics reported by each peer and the time of the report.
-    pub peer_stats: HashMap<Name, (RolloutStats, MonotonicTime)>,
+    /// Statistics reported by other instances and the time of the report.
+    pub peer_stats: HashMap<StatsSource, (RolloutStats, MonotonicTime)>,
+    /// Whether it is known what the store holds of the order.
+    pub status_known: bool,
+    /// When this instance learned of the order.
+    pub learned_at: MonotonicTime,
     /// Whether the final state is stored.
     pub final_state_stored: bool,
     /// Whether the start of the order is stored.
@@ -62,10 +120,24 @@
 }
 
 impl TrackedRollout {
+    /// Returns the statistics of the instances of this failure domain.
+    pub fn domain_stats(&self, now: MonotonicTime) -> RolloutStats {
+        let near = |source: &StatsSource| matches!(source, StatsSource::Instance(..));
+        self.sum_stats(near, now)
+    }
+
     /// Returns the combined statistics of all instances.
     pub fn stats(&self, now: MonotonicTime) -> RolloutStats {
+        self.sum_stats(|_| true, now)
+    }
+
+    fn sum_stats(
+        &self,
+        include: impl Fn(&StatsSource) -> bool,
+        now: MonotonicTime,
+    ) -> RolloutStats {
         let mut sum = self.own_stats;
-        for (stats, at) in self.peer_stats.values() {
+        for (_, (stats, at)) in self.peer_stats.iter().filter(|(source, _)| include(source)) {
             let mut stats = *stats;
             if now.saturating_sub(*at) > PEER_STATS_TTL {
                 stats.old_in_flight = 0;
@@ -74,29 +146,43 @@
         }
         sum
     }
+
+    /// Returns the number of instances of this domain and of other domains whose
+    /// statistics are recent.
+    fn recent_sources(&self, now: MonotonicTime) -> (usize, usize) {
+        let recent = |at: MonotonicTime| now.saturating_sub(at) <= PEER_STATS_TTL;
+        let sources = self.peer_stats.iter().filter(|(_, (_, at))| recent(*at));
+        let (near, far): (Vec<_>, Vec<_>) =
+            sources.partition(|(source, _)| matches!(source, StatsSource::Instance(..)));
+        (near.len(), far.len())
+    }
 }
 
 /// Evaluates rollouts in progress and stores their final states until the process
 /// ends.
+///
+/// Only hubs decide, and read and write the store; the other instances learn the states
+/// from them.
 pub async fn run_rollouts<D, S: RolloutStore>(gateway: Rc<Gateway<D>>, peers: Rc<Peers>, store: S) {
     loop {
         tokio::time::sleep(DECIDE_INTERVAL).await;
+        learn_states(&gateway, &peers, &store).await;
+        let now = gateway.now();
+        let Role::Hub(position) = peers.role(ROLLOUT_TASK, now) else { continue };
         for (order, age) in gateway.unstored_rollouts() {
-            if age >= write_delay(peers.rank(&order.service))
-                && store.store_start(&order, age).await
-            {
+            if age >= write_delay(position) && store.store_start(&order, age).await {
                 gateway.update_rollout(&order.service, order.revision, |tracked| {
                     tracked.start_stored = true
                 });
             }
         }
-        for (order, state) in gateway.decided_rollouts() {
+        for (order, state) in gateway.decided_rollouts(&peers.coverage(now)) {
             if state == RolloutState::RolledBack {
                 // This instance stops using the new version at once, whichever instance
                 // writes the state and whatever the store answers.
                 gateway.set_rollout_state(&order.service, &order.to, state, false);
             }
-            if !gateway.is_writer(&order, peers.rank(&order.service)) {
+            if !gateway.is_writer(&order, position) {
                 continue;
             }
             if let FinalStateResult::Stored(state) = store.store_final_state(&order, state).await {
@@ -109,18 +195,62 @@
     }
 }
 
-/// Returns how long an instance of this rank waits for the preceding ones to write.
-fn write_delay(rank: usize) -> Duration {
-    WRITE_STAGGER * u32::try_from(rank).unwrap_or(u32::MAX)
+/// Learns what the store holds of the rollouts.
+///
+/// Of a new order, hubs tell the others. An instance that starts during a rollout asks
+/// others and, if none knows, the store: its callers are waiting.
+async fn learn_states<D, S: RolloutStore>(gateway: &Gateway<D>, peers: &Peers, store: &S) {
+    let Some(known_for) = gateway.longest_unknown_rollout() else { return };
+    let now = gateway.now();
+    let is_starting = now < STARTUP_TIME && !peers.first_start;
+    if is_starting && peers.fetch_state(gateway).await && gateway.rollout_states_known() {
+        return;
+    }
+    let patience = match peers.role(ROLLOUT_TASK, now) {
+        Role::Hub(position) => READ_STAGGER * position as u32,
+        Role::Member(_) if is_starting => START_PATIENCE,
+        Role::Member(position) => STATES_PATIENCE + READ_STAGGER * position as u32,
+    };
+    if known_for >= patience
+        && let Some(stored) = store.read_states().await
+    {
+        gateway.apply_stored_rollouts(stored);
+    }
+}
+
+/// Returns how long the hub at this position waits for the preceding ones to write.
+fn write_delay(position: usize) -> Duration {
+    WRITE_STAGGER * u32::try_from(position).unwrap_or(u32::MAX)
 }
 
 impl<D> Gateway<D> {
+    /// Returns for how long the first order has been known of which it is not known what
+    /// the store holds.
+    fn longest_unknown_rollout(&self) -> Option<Duration> {
+        let rollouts = self.rollouts.borrow();
+        let unknown = rollouts.values().filter(|tracked| !tracked.status_known);
+        let first = unknown.map(|tracked| tracked.learned_at).min()?;
+        Some(self.now().saturating_sub(first))
+    }
+
+    /// Applies what the store holds of all rollouts.
+    fn apply_stored_rollouts(&self, stored: Vec<StoredRollout>) {
+        for StoredRollout { service, to, state, age } in stored {
+            if let Some(age) = age {
+                self.set_rollout_age(&service, &to, age);
+            }
+            self.set_rollout_state(&service, &to, state, true);
+        }
+        self.rollouts.borrow_mut().values_mut().for_each(|tracked| tracked.status_known = true);
+    }
+
     /// Returns the orders of which neither the start nor the final state is stored, with
     /// their ages.
     fn unstored_rollouts(&self) -> Vec<(RolloutOrder, Duration)> {
         let rollouts = self.rollouts.borrow();
         let unstored = rollouts
             .values()
+            .filter(|tracked| tracked.status_known)
             .filter(|tracked| !tracked.start_stored && !tracked.final_state_stored);
         unstored
             .map(|tracked| (tracked.rollout.order.clone(), tracked.rollout.age(self.now())))
@@ -143,17 +273,28 @@
 
     /// Returns the rollouts whose final state has been decided but not stored, and logs
     /// each decision.
-    fn decided_rollouts(&self) -> Vec<(RolloutOrder, RolloutState)> {
+    ///
+    /// While instances are missing in the counts, an order completes only once it is
+    /// overdue: they may have requests in flight on the old version.
+    fn decided_rollouts(&self, coverage: &Coverage) -> Vec<(RolloutOrder, RolloutState)> {
         let now = self.now();
         let rollouts = self.rollouts.borrow();
         let mut due = Vec::new();
-        for tracked in rollouts.values().filter(|tracked| !tracked.final_state_stored) {
+        let undecided = rollouts.values().filter(|tracked| !tracked.final_state_stored);
+        for tracked in undecided.filter(|tracked| tracked.status_known) {
             let order = &tracked.rollout.order;
             let mut stats = tracked.stats(now);
             stats.old_in_flight += self.old_in_flight(&order.service, &order.to);
             let state = match (tracked.rollout.state, tracked.rollout.decide(&stats, now)) {
                 (RolloutState::RolledBack, _) | (_, Decision::RollBack) => RolloutState::RolledBack,
-                (RolloutState::Completed, _) | (_, Decision::Complete) => RolloutState::Completed,
+                (RolloutState::Completed, _) => RolloutState::Completed,
+                (_, Decision::Complete)
+                    if !coverage.includes_all(tracked.recent_sources(now))
+                        && tracked.rollout.phase(now) != Phase::Overdue =>
+                {
+                    continue;
+                }
+                (_, Decision::Complete) => RolloutState::Completed,
                 (RolloutState::InProgress, Decision::Wait) => continue,
             };
             let fields = json!({
@@ -170,14 +311,14 @@
         due
     }
 
-    /// Whether this instance must write the final state now: its delay by rank has
+    /// Whether this instance must write the final state now: its delay by position has
     /// passed since the first call for this order.
-    fn is_writer(&self, order: &RolloutOrder, rank: usize) -> bool {
+    fn is_writer(&self, order: &RolloutOrder, position: usize) -> bool {
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(tracked) = rollouts.get_mut(&order.service) else { return false };
         let now = self.now();
         let decided_at = *tracked.decided_at.get_or_insert(now);
-        now.saturating_sub(decided_at) >= write_delay(rank)
+        now.saturating_sub(decided_at) >= write_delay(position)
     }
 
     /// Starts the rollout of an order, unless a newer one is known.
@@ -200,6 +341,8 @@
             rollout: Rollout::new(order),
             own_stats: RolloutStats::default(),
             peer_stats: HashMap::new(),
+            status_known: false,
+            learned_at: self.now(),
             final_state_stored: false,
             start_stored: false,
             decided_at: None,
@@ -207,6 +350,11 @@
         rollouts.insert(service, tracked);
     }
 
+    /// Whether it is known of all orders what the store holds of them.
+    pub(crate) fn rollout_states_known(&self) -> bool {
+        self.rollouts.borrow().values().all(|tracked| tracked.status_known)
+    }
+
     /// Returns the revision of the newest order for a service.
     pub(crate) fn rollout_revision(&self, service: &str) -> Option<u64> {
         self.rollouts.borrow().get(service).map(|tracked| tracked.rollout.order.revision)
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -1,18 +1,16 @@
-//! Table updates that the reader of a table sends to the instances of its failure
-//! domain.
+//! Table updates that the reader of a table sends to other instances.
+
+use std::net::SocketAddr;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
 
-use crate::follow::Row;
+use crate::table::Row;
 
-/// Maximum size of the rows in one update, in bytes; a single row may exceed it.
-/// Updates compress to a fifth or less and are sent to many instances at once over
-/// links of a few megabits per second.
+/// Maximum size of the rows in one update, in bytes. Updates compress to a fifth or less
+/// and are sent to many instances at once; longer rows are fetched instead.
 const MAX_UPDATE_BYTES: usize = 16 << 10;
 /// Estimated encoding overhead of a row beside its key and value, in bytes.
-const ROW_OVERHEAD_BYTES: usize = 60;
+const ROW_OVERHEAD_BYTES: usize = 16;
 
 /// Revision up to which an instance knows a table.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,7 +37,7 @@
         }
         match &update.changes {
             Some(changes) if changes.before <= self.revision => {
-                UpdateEffect::Rows(changes.rows.iter().map(WireRow::to_row).collect())
+                UpdateEffect::Rows(changes.rows.clone())
             }
             None if update.known.changed <= self.revision => {
                 self.revision = update.known.revision;
@@ -57,7 +55,7 @@
     None,
     /// These rows need to be applied.
     Rows(Vec<Row>),
-    /// The update does not contain all missing rows; the store must be read.
+    /// The update does not contain all missing rows; they must be fetched.
     Gap,
 }
 
@@ -72,14 +70,14 @@
     }
 }
 
-/// State of a table in the store, as sent by a reader.
+/// State of a table at the sender.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TableUpdate {
     /// Table.
     pub table: String,
     /// Revision up to which the sender knows the table.
     pub known: KnownRevision,
-    /// Time since the store answered the sender, in milliseconds.
+    /// Time since the store answered the instance that reads it, in milliseconds.
     pub age_ms: u64,
     /// Whether entries that expired in an outage of the store may still be listed
     /// again.
@@ -93,8 +91,12 @@
 pub(crate) struct ReceivedUpdate {
     /// The update.
     pub update: TableUpdate,
+    /// The sender.
+    pub from: SocketAddr,
     /// Whether the sender precedes this instance in the order of readers.
     pub from_earlier: bool,
+    /// Whether the sender belongs to another failure domain.
+    pub from_outside: bool,
 }
 
 /// All changes between two revisions.
@@ -103,66 +105,21 @@
     /// Exclusive lower bound; the rows changed after this revision.
     pub before: u64,
     /// Changed rows.
-    pub rows: Vec<WireRow>,
-}
-
-/// A row in the encoding used between instances.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct WireRow {
-    key: String,
-    value: Option<WireValue>,
-    revision: u64,
-}
-
-/// Value of a row. UTF-8 is sent as text, since it compresses better than base64.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-enum WireValue {
-    Text(String),
-    Base64(String),
-}
-
-impl WireValue {
-    fn new(bytes: &[u8]) -> Self {
-        match std::str::from_utf8(bytes) {
-            Ok(text) => WireValue::Text(text.to_owned()),
-            Err(_) => WireValue::Base64(STANDARD.encode(bytes)),
-        }
-    }
-
-    fn to_bytes(&self) -> Vec<u8> {
-        match self {
-            WireValue::Text(text) => text.clone().into_bytes(),
-            // Invalid base64 decodes to an empty value, which every follower rejects
-            // as unreadable.
-            WireValue::Base64(text) => STANDARD.decode(text).unwrap_or_default(),
-        }
-    }
-
-    fn len(&self) -> usize {
-        match self {
-            WireValue::Text(text) | WireValue::Base64(text) => text.len(),
-        }
-    }
+    pub rows: Vec<Row>,
 }
 
-impl WireRow {
-    fn new(row: &Row) -> Self {
-        let value = row.value.as_deref().map(WireValue::new);
-        WireRow { key: row.key.clone(), value, revision: row.revision }
-    }
-
-    fn to_row(&self) -> Row {
-        let value = self.value.as_ref().map(WireValue::to_bytes);
-        Row { key: self.key.clone(), value, revision: self.revision }
-    }
-
-    /// Estimates the size of the encoded row, in bytes.
-    fn encoded_len(&self) -> usize {
-        self.key.len() + self.value.as_ref().map_or(0, WireValue::len) + ROW_OVERHEAD_BYTES
+impl TableUpdate {
+    /// Creates an update that says how far the sender knows the table, so that others
+    /// fetch what they miss.
+    pub fn announce(table: &str, known: KnownRevision, unsettled: bool) -> Self {
+        TableUpdate { table: table.to_owned(), known, age_ms: 0, unsettled, changes: None }
     }
 }
 
-/// Splits changed rows, ordered by revision, into updates.
+/// Splits changed rows into updates.
+///
+/// From the first row on that is too long for a datagram, there is only one more update,
+/// without rows.
 pub fn split_updates(
     table: &str,
     rows: &[Row],
@@ -170,27 +127,41 @@
     known: KnownRevision,
     unsettled: bool,
 ) -> Vec<TableUpdate> {
-    let mut rows: Vec<WireRow> = rows.iter().map(WireRow::new).collect();
+    let mut rows: Vec<Row> = rows.to_vec();
     rows.sort_by_key(|row| row.revision);
+    let update = |known, changes| TableUpdate {
+        table: table.to_owned(),
+        known,
+        age_ms: 0,
+        unsettled,
+        changes,
+    };
     let mut updates = Vec::new();
     let mut remaining = rows.into_iter().peekable();
     while let Some(first) = remaining.next() {
-        let (mut bytes, mut last) = (first.encoded_len(), first.revision);
+        let (mut bytes, mut last) = (encoded_len(&first), first.revision);
         let mut rows = vec![first];
         // Rows of one transaction stay in the same update.
-        let fits = |row: &WireRow, bytes, last| {
-            row.revision == last || bytes + row.encoded_len() <= MAX_UPDATE_BYTES
+        let fits = |row: &Row, bytes, last| {
+            row.revision == last || bytes + encoded_len(row) <= MAX_UPDATE_BYTES
         };
         while let Some(row) = remaining.next_if(|row| fits(row, bytes, last)) {
-            (bytes, last) = (bytes + row.encoded_len(), row.revision);
+            (bytes, last) = (bytes + encoded_len(&row), row.revision);
             rows.push(row);
         }
+        if bytes > MAX_UPDATE_BYTES {
+            updates.push(update(known, None));
+            return updates;
+        }
         let is_last = remaining.peek().is_none();
         let covered = if is_last { known } else { KnownRevision { revision: last, changed: last } };
-        let changes = Some(Changes { before, rows });
-        let table = table.to_owned();
-        updates.push(TableUpdate { table, known: covered, age_ms: 0, unsettled, changes });
+        updates.push(update(covered, Some(Changes { before, rows })));
         before = last;
     }
     updates
 }
+
+/// Estimates the size of an encoded row, in bytes.
+fn encoded_len(row: &Row) -> usize {
+    row.key.len() + row.value.as_ref().map_or(0, Vec::len) + ROW_OVERHEAD_BYTES
+}
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -145,7 +145,7 @@
                 FeedMode::Listen(_) | FeedMode::OwnFeed => {
                     (instance.known.revision, now.saturating_sub(FEED_WAIT))
                 }
-                FeedMode::ReadForDomain => (instance.known.revision, now),
+                FeedMode::ReadForOthers => (instance.known.revision, now),
             },
         };
         if instance.refused_until > now {
--- /dev/null
+++ b/crates/gateway/tests/table.rs
@@ -0,0 +1,99 @@
+//! Tests of table copies, from which instances fetch what they miss.
+
+use std::collections::BTreeMap;
+
+use gateway::{KnownRevision, Row, TableCopy};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+fn row(key: &str, revision: u64) -> Row {
+    Row { key: key.into(), value: Some(revision.to_string().into()), revision }
+}
+
+fn deleted(key: &str, revision: u64) -> Row {
+    Row { key: key.into(), value: None, revision }
+}
+
+fn known(revision: u64) -> KnownRevision {
+    KnownRevision { revision, changed: revision }
+}
+
+#[test]
+fn since_includes_deletions() {
+    let mut copy = TableCopy::default();
+    copy.replace(&[row("a", 1), row("b", 2)], known(2));
+    copy.change(&[deleted("a", 3)], 4);
+    let delta = copy.since(2, false);
+    assert!(!delta.complete);
+    assert_eq!(delta.rows, [deleted("a", 3)]);
+    assert_eq!(delta.known, KnownRevision { revision: 4, changed: 3 });
+}
+
+#[test]
+fn since_before_the_copy_is_complete() {
+    let mut copy = TableCopy::default();
+    copy.replace(&[row("a", 1), row("b", 7)], known(9));
+    copy.change(&[deleted("a", 10)], 10);
+    let delta = copy.since(8, false);
+    assert!(delta.complete, "deletions before the copy was made are unknown");
+    assert_eq!(delta.rows, [row("b", 7)]);
+}
+
+#[test]
+fn since_forgotten_deletions_is_complete() {
+    let mut copy = TableCopy::default();
+    copy.replace(&[], known(1));
+    for revision in 2..10_000 {
+        copy.change(&[deleted(&format!("k{revision}"), revision)], revision);
+    }
+    assert!(copy.since(2, false).complete);
+    let delta = copy.since(9_990, false);
+    assert!(!delta.complete);
+    assert_eq!(delta.rows.len(), 9);
+}
+
+/// Whatever an instance missed, what it fetches makes its rows equal to the copy's.
+#[test]
+fn since_any_revision_brings_up_to_date() {
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut copy = TableCopy::default();
+        let mut rows: BTreeMap<String, Row> = BTreeMap::new();
+        let mut held: BTreeMap<String, Row> = BTreeMap::new();
+        let mut held_revision = 0;
+        for revision in 1..60 {
+            let key = format!("k{}", rng.random_range(0..6));
+            let changed = if rng.random_range(0..3) == 0 {
+                deleted(&key, revision)
+            } else {
+                row(&key, revision)
+            };
+            rows.insert(key, changed.clone());
+            if rng.random_range(0..20) == 0 {
+                let live: Vec<Row> =
+                    rows.values().filter(|row| row.value.is_some()).cloned().collect();
+                copy.replace(&live, known(revision));
+            } else {
+                copy.change(&[changed], revision);
+            }
+            if rng.random_range(0..5) > 0 {
+                continue;
+            }
+            let delta = copy.since(held_revision, false);
+            if delta.complete {
+                held.clear();
+            }
+            for row in delta.rows {
+                held.insert(row.key.clone(), row);
+            }
+            held.retain(|_, row| row.value.is_some());
+            held_revision = delta.known.revision;
+            let live: BTreeMap<String, Row> = rows
+                .iter()
+                .filter(|(_, row)| row.value.is_some())
+                .map(|(key, row)| (key.clone(), row.clone()))
+                .collect();
+            assert_eq!(held, live, "seed {seed}, revision {revision}");
+        }
+    }
+}
--- a/crates/gateway/tests/updates.rs
+++ b/crates/gateway/tests/updates.rs
@@ -66,6 +66,17 @@
     assert_eq!(listener, known(20, 9));
 }
 
+#[test]
+fn split_updates_long_row_is_announced_to_be_fetched() {
+    let rows = [row("a", 1), row(&"x".repeat(20_000), 2), row("b", 3)];
+    let updates = split_updates("t", &rows, 0, known(5, 3), false);
+    let mut listener = known(0, 0);
+    let last = updates.last().unwrap();
+    assert!(updates.iter().all(|update| pack(update).unwrap().len() < 1_400));
+    assert_eq!((last.known, &last.changes), (known(5, 3), &None));
+    assert_eq!(listener.effect_of(last), UpdateEffect::Gap);
+}
+
 #[test]
 fn split_updates_keeps_a_transaction_together() {
     let long = "x".repeat(9_000);
@@ -73,6 +84,24 @@
     assert_eq!(split_updates("t", &rows, 0, known(3, 3), false).len(), 1);
 }
 
+#[test]
+fn split_updates_transaction_at_the_limit_is_not_torn() {
+    for length in (500..9_000).step_by(250) {
+        let long = "x".repeat(length);
+        let revisions = [(1, 1), (2, 1), (3, 2), (4, 2), (5, 2)];
+        let rows = revisions.map(|(number, revision)| row(&format!("{long}{number}"), revision));
+        let (mut listener, mut held) = (known(0, 0), 0);
+        for update in split_updates("t", &rows, 0, known(2, 2), false) {
+            if let UpdateEffect::Rows(rows) = listener.effect_of(&update) {
+                listener.advance(&rows, update.known.revision);
+                held += rows.len();
+            }
+            let complete = [0, 2, 5][listener.revision as usize];
+            assert_eq!(held, complete, "rows of {length} bytes up to {}", listener.revision);
+        }
+    }
+}
+
 #[test]
 fn pack_binary_values_round_trip() {
     let binary = Row { key: "k".into(), value: Some(vec![0, 159, 146, 150]), revision: 1 };
@@ -169,23 +198,32 @@
     }
 }
 
-/// Instances of different builds exchange updates during a deployment, so the names on
-/// the wire must not follow the names in the code.
+/// Instances of different builds exchange updates during a deployment, so the format may
+/// not change without a new version byte.
 #[test]
-fn pack_update_keeps_names_on_the_wire() {
+fn pack_update_keeps_bytes_on_the_wire() {
     let rows = [
         Row { key: "a".into(), value: Some(b"text".to_vec()), revision: 3 },
         Row { key: "b".into(), value: Some(vec![0xff]), revision: 4 },
         Row { key: "c".into(), value: None, revision: 5 },
     ];
-    let known = KnownRevision { revision: 9, changed: 5 };
+    let known = KnownRevision { revision: 900, changed: 5 };
     let update = split_updates("servers", &rows, 2, known, true).remove(0);
+    let bytes = b"\x02\x07servers\x84\x07\x05\x00\x01\x01\x02\x03\
+        \x01a\x01\x04text\x03\x01b\x01\x01\xff\x04\x01c\x00\x05";
+    assert_eq!(pack(&update).unwrap(), bytes);
+    assert_eq!(unpack::<TableUpdate>(bytes).unwrap(), update);
+}
+
+/// The build before this format sent JSON, or deflated JSON behind a byte of 1.
+#[test]
+fn unpack_message_of_the_previous_build_is_rejected() {
     let json = concat!(
         r#"{"table":"servers","known":{"revision":9,"changed":5},"age_ms":0,"unsettled":true,"#,
         r#""changes":{"before":2,"rows":[{"key":"a","value":{"Text":"text"},"revision":3},"#,
         r#"{"key":"b","value":{"Base64":"/w=="},"revision":4},"#,
         r#"{"key":"c","value":null,"revision":5}]}}"#,
     );
-    assert_eq!(String::from_utf8(pack(&update).unwrap()).unwrap(), json);
-    assert_eq!(unpack::<TableUpdate>(json.as_bytes()).unwrap(), update);
+    assert!(unpack::<TableUpdate>(json.as_bytes()).is_err());
+    assert!(unpack::<TableUpdate>(b"\x01\xab\x56\x2a\x49").is_err());
 }
--- a/tests/runner/node.rs
+++ b/tests/runner/node.rs
@@ -30,6 +30,8 @@
     pub frontend: SocketAddr,
     /// The address for readiness checks and metrics.
     readiness: SocketAddr,
+    /// The address that other instances name as a seed.
+    pub control: SocketAddr,
     settings_path: PathBuf,
     /// The log lines read so far; empty unless the log is a pipe.
     log_lines: Arc<Mutex<Vec<String>>>,
@@ -48,21 +50,77 @@
     pub headers: http::HeaderMap,
 }
 
-impl Node {
-    /// Starts an instance and sends its log to `log`.
-    pub fn start(name: &str, store: SocketAddr, grace_s: f64, log: Stdio) -> Result<Node> {
+/// Builder for [`Node`].
+pub struct NodeBuilder {
+    name: String,
+    store: SocketAddr,
+    grace_s: f64,
+    domain: String,
+    seeds: Option<Vec<SocketAddr>>,
+    first_start: bool,
+    log: Stdio,
+}
+
+impl NodeBuilder {
+    /// Creates a builder for an instance that uses the store at `store`.
+    pub fn new(name: &str, store: SocketAddr) -> Self {
+        NodeBuilder {
+            name: name.to_owned(),
+            store,
+            grace_s: 8.0,
+            domain: "z1".to_owned(),
+            seeds: None,
+            first_start: false,
+            log: Stdio::null(),
+        }
+    }
+
+    /// Sets the time that the instance has between SIGTERM and SIGKILL.
+    pub fn grace_s(mut self, grace_s: f64) -> Self {
+        self.grace_s = grace_s;
+        self
+    }
+
+    /// Sets the failure domain.
+    pub fn domain(mut self, domain: &str) -> Self {
+        self.domain = domain.to_owned();
+        self
+    }
+
+    /// Sets the control addresses of the instances that it asks first.
+    pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = Some(seeds);
+        self
+    }
+
+    /// Sets whether the whole installation starts for the first time.
+    pub fn first_start(mut self, first_start: bool) -> Self {
+        self.first_start = first_start;
+        self
+    }
+
+    /// Sets where the log goes.
+    pub fn log(mut self, log: Stdio) -> Self {
+        self.log = log;
+        self
+    }
+
+    /// Starts the instance.
+    pub fn start(self) -> Result<Node> {
         let ip = unique_loopback_ip();
         let at = |port| SocketAddr::new(ip, port);
         let (frontend, readiness, peers) = (at(7_001), at(7_002), at(7_003));
         let settings = json!({
-            "node_name": name,
+            "node_name": self.name,
             "ip": ip,
-            "zone": "z1",
+            "zone": self.domain,
+            "first_start": self.first_start,
+            "seed_nodes": self.seeds,
             "listen": { "frontend": frontend, "readiness": readiness },
             "internal_ports": [peers.port(), peers.port()],
-            "platform": { "address": store },
+            "platform": { "address": self.store },
             "bounds": {
-                "grace_s": grace_s, "retry_budget_ratio": 0.9, "retry_window_s": 10,
+                "grace_s": self.grace_s, "retry_budget_ratio": 0.9, "retry_window_s": 10,
                 "retry_slack": 58, "session_s": 5,
             },
             "unknown": { "field": [1, 2] },
@@ -72,11 +130,20 @@
         std::fs::write(&path, settings.to_string())?;
         let mut command = Command::new(env!("CARGO_BIN_EXE_lacewingchute"));
         command.arg("node").env("LACEWINGCHUTE_CONFIG", &path);
-        command.stdout(log).stderr(Stdio::null());
+        command.stdout(self.log).stderr(Stdio::null());
         let child = spawn(&mut command).context("starting the program")?;
-        Ok(Node { child, frontend, readiness, settings_path: path, log_lines: Arc::default() })
+        Ok(Node {
+            child,
+            frontend,
+            readiness,
+            control: at(7_000),
+            settings_path: path,
+            log_lines: Arc::default(),
+        })
     }
+}
 
+impl Node {
     /// Waits until the readiness check reports the given readiness.
     pub async fn wait_ready(&self, ready: bool) -> Result<()> {
         let expected = if ready { 200 } else { 503 };
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -5,8 +5,8 @@
 //!
 //! Configuration and backend servers:
 //!
-//! - `config N [sizes=none] [drop=PREFIX] [without-key=KEY] [chat=SERVICE] [timeout=MS]`
-//!   writes configuration version `N`; `bad-config` writes one that can't be parsed.
+//! - `config N [sizes=none] [drop=PREFIX] [without-key=KEY] [chat=SERVICE] [timeout=MS]
+//!   [routes=COUNT]` writes configuration version `N`, with `COUNT` more routes; `bad-config` writes one that can't be parsed.
 //! - `server ID SERVICE [version=V]` starts a server and lists it; `bad-server ID` writes
 //!   a list entry that can't be parsed.
 //! - `leave ID` marks a server's entry as draining, `gone ID` removes the entry, `back ID`
@@ -22,8 +22,9 @@
 //!
 //! Instances of the program:
 //!
-//! - `node ID [grace=S] [unread-log]` starts an instance; the log of `unread-log` goes to
-//!   a pipe that is not read before `logged`.
+//! - `node ID [grace=S] [domain=NAME] [seeds=ID,ID] [first] [unread-log]` starts an
+//!   instance; `first` if the whole installation starts for the first time. The log of
+//!   `unread-log` goes to a pipe that is not read before `logged`.
 //! - `ready ID`, `not-ready ID`, `metric ID NAME VALUE` and `ended ID CODE` wait for a
 //!   readiness state, for the value of a metric and for an exit code.
 //! - `signal ID NAME` sends a signal; `hang-up ID N` sends `N` SIGHUPs, each of which
@@ -34,7 +35,9 @@
 //!
 //! - `store out|silent|back|lose-reply|compact|break` makes the store fail, hang or recover,
 //!   leave the next write unanswered, discard its history, or close its connections.
-//! - `feeds TABLE N` waits until `N` feeds of a table are open.
+//! - `feeds TABLE N` waits until `N` feeds of a table are open; `calls PATH MOST` checks
+//!   that the store has received at most so many calls to a path, `calls-reset` counts
+//!   from here on.
 //! - `order SERVICE VERSION SECONDS` orders a rollout; `state SERVICE STATE` waits until
 //!   it has a state.
 //! - `within-order MS` and `within-config MS` check the time since the last order and
@@ -72,7 +75,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::node::{Node, Reply, SPAWN_LOCK, exchange, exchange_raw};
+use crate::node::{Node, NodeBuilder, Reply, SPAWN_LOCK, exchange, exchange_raw};
 
 /// The maximum wait for a rollout's state, for open feeds and for received requests.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -120,6 +123,8 @@
     ordered_at: Option<Instant>,
     /// When the last configuration was written.
     configured_at: Option<Instant>,
+    /// The store's counts of calls at the last `calls-reset` step, by path.
+    calls_before: HashMap<String, u64>,
     /// The bytes that the last `raw` step received, as text.
     raw_response: String,
     stop: CancellationToken,
@@ -136,6 +141,7 @@
             last_reply: None,
             ordered_at: None,
             configured_at: None,
+            calls_before: HashMap::new(),
             raw_response: String::new(),
             stop,
         })
@@ -172,8 +178,16 @@
                 let grace = options.get("grace").unwrap_or("8").parse()?;
                 // Nothing reads the pipe before a `logged` step, so it can fill up.
                 let log = if options.has("unread-log") { Stdio::piped() } else { Stdio::null() };
-                let node = Node::start(id, self.store.addr(), grace, log)?;
-                self.nodes.insert(id.into(), node);
+                let mut builder = NodeBuilder::new(id, self.store.addr())
+                    .grace_s(grace)
+                    .domain(options.get("domain").unwrap_or("z1"))
+                    .first_start(options.has("first"))
+                    .log(log);
+                if let Some(seeds) = options.get("seeds") {
+                    let control = |id| self.node(id).map(|node| node.control);
+                    builder = builder.seeds(seeds.split(',').map(control).collect::<Result<_>>()?);
+                }
+                self.nodes.insert(id.into(), builder.start()?);
             }
             ["many", node, path, count] => self.many(node, path, count.parse()?).await?,
             ["ready", id] => self.node(id)?.wait_ready(true).await?,
@@ -207,6 +221,12 @@
                     self.configured_at.context("no configuration was written before")?.elapsed();
                 ensure!(elapsed <= Duration::from_millis(ms.parse()?), "{elapsed:?} have passed");
             }
+            ["calls-reset"] => self.calls_before = self.store.all_calls(),
+            ["calls", path, most] => {
+                let before = self.calls_before.get(path).copied().unwrap_or_default();
+                let calls = self.store.calls(path) - before;
+                ensure!(calls <= most.parse()?, "the store received {calls} calls to {path}");
+            }
             ["feeds", table, count] => self.wait_feeds(table, count.parse()?).await?,
             ["state", service, state] => self.wait_state(service, state).await?,
             ["load", node, path, service, state] => {
@@ -282,6 +302,12 @@
             route("/open/", "idempotent", "desk", 2),
             route("/look/deep/", "idempotent", "deep", 2),
         ];
+        let more = options.get("routes").and_then(|count| count.parse().ok()).unwrap_or(0);
+        routes.extend((0..more).map(|number: u64| {
+            // Names that do not compress.
+            let prefix = format!("/{:016x}/", policy::mix(number));
+            route(&prefix, "idempotent", "desk", 2)
+        }));
         routes.retain(|route| options.get("drop").is_none_or(|drop| route["prefix"] != drop));
         let without = options.get("without-key");
         let keys = ["key-ana", "key-ana-2"].into_iter().filter(|key| Some(*key) != without);
--- a/tests/soak/testbed.rs
+++ b/tests/soak/testbed.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::process::Stdio;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -15,7 +14,7 @@
 
 use crate::caller::{self, Outcome};
 use crate::faults;
-use crate::node::Node;
+use crate::node::{Node, NodeBuilder};
 
 /// How long faults are injected.
 const FAULT_PERIOD: Duration = Duration::from_secs(6);
@@ -99,8 +98,9 @@
 
     /// Starts the instance with the given index and waits until it is ready.
     pub async fn start_node(&self, index: usize) -> Result<()> {
-        let node =
-            Node::start(&format!("n{index}"), self.store_relay.addr(), GRACE_S, Stdio::null())?;
+        let node = NodeBuilder::new(&format!("n{index}"), self.store_relay.addr())
+            .grace_s(GRACE_S)
+            .start()?;
         node.wait_ready(true).await?;
         self.addrs.lock().unwrap()[index] = node.frontend;
         self.nodes.lock().await[index] = Some(node);
