Endless responses are dropped; feeds of their own fail over to hubs

Cause 1: bytes that never become a response are consumed by the HTTP parser without end: zeros of a chunk size and informational responses held a booking until its timeout (504 after 5 s) and kept the server in use; an event that trickles in without its blank line renewed the silence timeout with each byte. Head, status line, chunk extension, trailers, body and the body of another answer were bounded already. Change: a connection fails after 256 KiB without a part of a response, its read buffer is 64 KiB; the silence timeout of a stream runs from event to event. So an open request holds at most 64 KiB of unparsed bytes, a plain body 4 MiB or an event 1 MiB. Tests: ten scenarios endless_*; with the guard off chunk_size and informational fail, with the old timer slow_event does, the others hold what was so before.

Change: the long pause only where one instance reads for all. Where each has a feed, changes also go to the hub, which passes them on, so that an instance that is turned away follows the others. Tests: store_back_after_long_outage_is_noticed_in_time, store_turns_away_one_of_three.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -1,7 +1,10 @@
 //! A pool of HTTP/1 client connections, keyed by socket address.
 //!
 //! An unresponsive connection is detected by the TCP user timeout or by the
-//! timeouts of the code that uses it, and is never returned to the pool.
+//! timeouts of the code that uses it, and is never returned to the pool. One on which
+//! bytes arrive that never become a response is closed once there are too many.
+
+mod guard;
 
 use std::collections::HashMap;
 use std::fmt;
@@ -10,6 +13,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use guard::{GuardedStream, ReadAllowance};
+
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -45,6 +50,8 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which the connection is considered dead.
 const KEEPALIVE_RETRIES: u32 = 2;
+/// The size of the read buffer of a connection, which also limits the head of a response.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// The maximum number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
@@ -129,6 +136,7 @@
 struct Link {
     addr: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
     task: AbortHandle,
 }
 
@@ -186,6 +194,7 @@
 
     /// Sends the request and waits for the response head.
     pub async fn send(mut self, request: Request) -> Result<IncomingResponse, SendError> {
+        self.link.allowance.renew();
         match self.link.sender.try_send_request(request).await {
             Ok(response) => {
                 let (head, body) = response.into_parts();
@@ -223,6 +232,9 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        if let Some(lease) = &self.lease {
+                            lease.link.allowance.renew();
+                        }
                         return Ok(Some(data));
                     }
                 }
@@ -282,11 +294,15 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+    let allowance = ReadAllowance::default();
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(GuardedStream::new(stream, allowance.clone())))
+        .await
+        .map_err(io::Error::other)?;
     let task = tokio::spawn(async move {
         // The request in flight receives the error through its `SendRequest`.
         let _ = connection.await;
     });
-    Ok(Link { addr, sender, task: task.abort_handle() })
+    Ok(Link { addr, sender, allowance, task: task.abort_handle() })
 }
--- a/crates/dispatch/src/reader_election.rs
+++ b/crates/dispatch/src/reader_election.rs
@@ -65,8 +65,13 @@
         mode
     }
 
+    /// Whether, among this number of instances, one reads for all.
+    pub fn shares_reader(instances: usize) -> bool {
+        instances >= MIN_SHARED_INSTANCES
+    }
+
     fn choose(&self, position: usize, instances: usize, now: MonotonicTime) -> FeedMode {
-        if instances < MIN_SHARED_INSTANCES {
+        if !Self::shares_reader(instances) {
             return FeedMode::OwnFeed;
         }
         if position == 0 && !self.failing {
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 //! Types with the prefix `Site` fake the store and the servers of the users' platform.
 
 mod deployment;
+mod endless_server;
 mod engine;
 mod http_server;
 mod platform_fake;
@@ -14,6 +15,7 @@
 mod site_store;
 
 pub use deployment::{DOMAINS, Deployment, FakeVersion, VERSIONS};
+pub use endless_server::{EndlessPart, EndlessServer};
 pub use engine::{Engine, EngineFaults, EngineSettings};
 pub use platform_fake::{PlatformFake, PlatformFaults, PlatformView};
 pub use relay::{Relay, RelayMode};
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -410,11 +410,18 @@
         source
     }
 
-    /// Pauses and applies updates of other instances meanwhile.
+    /// Pauses and applies updates of other instances meanwhile. While the store does not
+    /// answer, fetches what they announce.
     async fn pause(&mut self, pause: Duration) {
         let until = tokio::time::Instant::now() + pause;
         while let Ok(Some(received)) = tokio::time::timeout_at(until, self.updates.recv()).await {
-            self.apply_update(received).await;
+            let source = self.apply_update(received).await;
+            if source.is_some()
+                && self.health.failures > 0
+                && let Some(delta) = self.fetch(source).await
+            {
+                self.apply_delta(delta).await;
+            }
         }
     }
 
@@ -464,10 +471,14 @@
         // Updates applied during the call may be newer than its answer.
         if page.revision > before.revision {
             self.change(page.rows.clone(), page.revision, outage).await;
-            if mode == FeedMode::ReadForOthers {
-                let updates =
-                    split_updates(self.table, &page.rows, before.changed, self.known(), outage);
+            let updates =
+                split_updates(self.table, &page.rows, before.changed, self.known(), outage);
+            // Where each instance has a feed, hubs pass changes on to instances that the
+            // store turns away.
+            if mode == FeedMode::ReadForOthers || self.peers.is_hub(now) {
                 self.peers.send_updates(updates, true, now).await;
+            } else if mode == FeedMode::OwnFeed {
+                self.peers.send_updates_to_hub(updates, now).await;
             }
         }
         let window = match mode {
@@ -491,7 +502,7 @@
         }
         Metrics::count(&self.gateway.metrics.store_calls, error.name());
         self.election.record_own_answer(false);
-        let max_backoff = match self.peers.relies_on_hub(self.gateway.now()) {
+        let max_backoff = match self.peers.relies_on_hub(self.table, self.gateway.now()) {
             true => MAX_BACKOFF_BEHIND_HUB,
             false => MAX_BACKOFF,
         };
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 
 use anyhow::{Context, Result, anyhow};
 use config::Name;
-use dispatch::{MonotonicTime, READER_TIMEOUT};
+use dispatch::{MonotonicTime, READER_TIMEOUT, ReaderElection};
 use members::{Envelope, Member, Membership, Role};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -224,9 +224,12 @@
     }
 
     /// Whether this instance can rely on the hub of its domain to reach the store.
-    pub(crate) fn relies_on_hub(&self, now: MonotonicTime) -> bool {
+    pub(crate) fn relies_on_hub(&self, table: &str, now: MonotonicTime) -> bool {
+        let (_, instances) = self.reader_position(table, now);
         let membership = self.membership.borrow();
-        !membership.is_hub(now) && membership.has_live_hub(now)
+        ReaderElection::shares_reader(instances)
+            && !membership.is_hub(now)
+            && membership.has_live_hub(now)
     }
 
     /// Returns a queue that receives the updates of other instances for a table from now
@@ -271,6 +274,14 @@
         }
     }
 
+    /// Sends updates to the hub of the domain and its successor.
+    pub(crate) async fn send_updates_to_hub(&self, updates: Vec<TableUpdate>, now: MonotonicTime) {
+        let uplinks = self.membership.borrow().uplinks(now);
+        for update in updates {
+            self.send(&Message::Update(update), &uplinks).await;
+        }
+    }
+
     /// Records an answer of the store, which is reported to other instances until it is
     /// too old.
     pub(crate) fn record_answer(
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -10,6 +10,7 @@
 use error::Refusal;
 use http::Response;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use crate::arrival::Exchange;
 use crate::body::{ResponseBody, Truncated};
@@ -22,7 +23,8 @@
 
 /// Maximum number of events buffered for a slow caller.
 const MAX_BUFFERED_EVENTS: usize = 16;
-/// Maximum time between two chunks of a stream, after which it is resumed at another server.
+/// Maximum time between two complete events, after which the stream is resumed at another
+/// server.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(2_500);
 
 /// The event stream of one send.
@@ -46,6 +48,7 @@
 impl<D: 'static> EventStream<D> {
     /// Returns the next complete event, or how the stream ended.
     async fn next(&mut self) -> Result<Event, StreamEnd> {
+        let until = Instant::now() + MAX_EVENT_GAP;
         loop {
             if let Some(event) = self.reader.next_event() {
                 return Ok(event);
@@ -53,7 +56,7 @@
             let Some(response) = &mut self.response else {
                 return Err(StreamEnd::Broken("closed"));
             };
-            let next_chunk = tokio::time::timeout(MAX_EVENT_GAP, response.chunk());
+            let next_chunk = tokio::time::timeout_at(until, response.chunk());
             let chunk = tokio::select! {
                 biased;
                 chunk = next_chunk => chunk,
--- a/tests/runner/node.rs
+++ b/tests/runner/node.rs
@@ -195,6 +195,14 @@
         bail!("timed out waiting for a log line that contains {text:?}")
     }
 
+    /// The largest resident size of the process so far, in kB.
+    pub fn peak_memory_kb(&self) -> Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next()).context("no VmHWM")?;
+        Ok(number.parse()?)
+    }
+
     /// Sends the signal with the given name, without `SIG`.
     pub fn signal(&self, name: &str) -> Result<()> {
         let id = self.child.id().to_string();
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -9,6 +9,9 @@
 //!   [routes=COUNT]` writes configuration version `N`, with `COUNT` more routes; `bad-config` writes one that can't be parsed.
 //! - `server ID SERVICE [version=V]` starts a server and lists it; `bad-server ID` writes
 //!   a list entry that can't be parsed.
+//! - `endless ID SERVICE PART` starts and lists a server that sends a part of a response
+//!   without end, see [`EndlessPart`]; `sending ID N` waits until it sends on `N`
+//!   connections, `asked ID MOST` checks that it has received at most so many requests.
 //! - `leave ID` marks a server's entry as draining, `gone ID` removes the entry, `back ID`
 //!   writes it again.
 //! - `other ID NEW` gives the server's address to a server with the id `NEW`; `down ID`
@@ -22,14 +25,16 @@
 //!
 //! Instances of the program:
 //!
-//! - `node ID [grace=S] [domain=NAME] [seeds=ID,ID] [first] [unread-log]` starts an
-//!   instance; `first` if the whole installation starts for the first time. The log of
+//! - `node ID [grace=S] [domain=NAME] [seeds=ID,ID] [first] [relayed] [unread-log]` starts
+//!   an instance; `first` if the whole installation starts for the first time; `relayed`
+//!   to reach the store through a relay, which `store-path ID cut|back` controls. The log of
 //!   `unread-log` goes to a pipe that is not read before `logged`.
 //! - `ready ID`, `not-ready ID`, `metric ID NAME VALUE` and `ended ID CODE` wait for a
 //!   readiness state, for the value of a metric and for an exit code.
 //! - `signal ID NAME` sends a signal; `hang-up ID N` sends `N` SIGHUPs, each of which
 //!   makes the instance log a line.
 //! - `logged ID TEXT` reads the log until a line contains `TEXT`.
+//! - `memory ID MB` checks that the process has never held more than so many MB.
 //!
 //! Store and rollouts:
 //!
@@ -40,6 +45,7 @@
 //!   from here on.
 //! - `order SERVICE VERSION SECONDS` orders a rollout; `state SERVICE STATE` waits until
 //!   it has a state.
+//! - `pause MS` waits.
 //! - `within-order MS` and `within-config MS` check the time since the last order and
 //!   since the last configuration.
 //!
@@ -62,13 +68,17 @@
 //!   header that a server received; `-` stands for none.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Stdio;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail, ensure};
-use fakes::{SiteFault, SiteRequest, SiteRequestLog, SiteServer, SiteStore};
+use fakes::{
+    EndlessPart, EndlessServer, Relay, RelayMode, SiteFault, SiteRequest, SiteRequestLog,
+    SiteServer, SiteStore,
+};
 use http_body_util::Full;
 use serde_json::{Value, json};
 use tokio::runtime::Handle;
@@ -114,7 +124,10 @@
     request_log: SiteRequestLog,
     /// The servers with their list entries.
     servers: HashMap<String, (SiteServer, Value)>,
+    endless: HashMap<String, EndlessServer>,
     nodes: HashMap<String, Node>,
+    /// Relays between instances and the store.
+    store_relays: HashMap<String, Relay>,
     /// Requests whose responses no step has waited for yet.
     pending: HashMap<String, JoinHandle<Result<(Reply, Duration)>>>,
     /// The last response and how long it took.
@@ -136,7 +149,9 @@
             store: SiteStore::start(stop.clone()).await?,
             request_log: Arc::new(Mutex::new(Vec::new())),
             servers: HashMap::new(),
+            endless: HashMap::new(),
             nodes: HashMap::new(),
+            store_relays: HashMap::new(),
             pending: HashMap::new(),
             last_reply: None,
             ordered_at: None,
@@ -155,6 +170,18 @@
             ["bad-config"] => self.store.put("op", "config", b"{\"version\": \"seven\"}"),
             ["server", id, service, ..] => self.server(id, service, &options).await?,
             ["bad-server", id] => self.store.put("servers", id, b"{\"service\": 7}"),
+            ["endless", id, service, part] => {
+                let part = parse_endless(part)?;
+                let server = EndlessServer::start(id, part, self.stop.clone()).await?;
+                let entry = server_entry(service, server.addr(), "v1");
+                self.endless.insert(id.to_owned(), server);
+                self.store.put("servers", id, entry.to_string().as_bytes());
+            }
+            ["sending", id, count] => self.wait_sending(id, count.parse()?).await?,
+            ["asked", id, most] => {
+                let requests = self.find_endless(id)?.requests();
+                ensure!(requests <= most.parse()?, "it received {requests} requests");
+            }
             ["leave", id] => self.change_entry(id, "state", "draining")?,
             ["gone", id] => self.store.remove("servers", id),
             ["back", id] => self.list(id)?,
@@ -178,7 +205,13 @@
                 let grace = options.get("grace").unwrap_or("8").parse()?;
                 // Nothing reads the pipe before a `logged` step, so it can fill up.
                 let log = if options.has("unread-log") { Stdio::piped() } else { Stdio::null() };
-                let mut builder = NodeBuilder::new(id, self.store.addr())
+                let mut store = self.store.addr();
+                if options.has("relayed") {
+                    let relay = Relay::start(store, self.stop.clone()).await?;
+                    store = relay.addr();
+                    self.store_relays.insert(id.into(), relay);
+                }
+                let mut builder = NodeBuilder::new(id, store)
                     .grace_s(grace)
                     .domain(options.get("domain").unwrap_or("z1"))
                     .first_start(options.has("first"))
@@ -189,6 +222,15 @@
                 }
                 self.nodes.insert(id.into(), builder.start()?);
             }
+            ["store-path", id, how] => {
+                let relay = self.store_relays.get(id).context("the instance is not relayed")?;
+                relay.set_mode(match how {
+                    "cut" => RelayMode::Disconnect,
+                    "back" => RelayMode::Forward,
+                    _ => bail!("unknown argument: {how:?}"),
+                });
+            }
+            ["pause", ms] => tokio::time::sleep(Duration::from_millis(ms.parse()?)).await,
             ["many", node, path, count] => self.many(node, path, count.parse()?).await?,
             ["ready", id] => self.node(id)?.wait_ready(true).await?,
             ["not-ready", id] => self.node(id)?.wait_ready(false).await?,
@@ -216,6 +258,10 @@
             ["logged", id, text] => {
                 self.node_mut(id)?.wait_logged(text).await?;
             }
+            ["memory", id, most] => {
+                let peak = self.node(id)?.peak_memory_kb()? >> 10;
+                ensure!(peak <= most.parse()?, "the instance has held {peak} MB");
+            }
             ["within-config", ms] => {
                 let elapsed =
                     self.configured_at.context("no configuration was written before")?.elapsed();
@@ -325,9 +371,8 @@
     /// Starts a server and lists it.
     async fn server(&mut self, id: &str, service: &str, options: &Options<'_>) -> Result<()> {
         let server = SiteServer::start(id, self.request_log.clone(), self.stop.clone()).await?;
-        let entry = json!({ "service": service, "address": server.addr(), "zone": "z1",
-            "version": options.get("version").unwrap_or("v1"), "slots": 8, "state": "ready",
-            "cold_remaining_ms": 0, "sequence": 1, "born": 1000 });
+        let version = options.get("version").unwrap_or("v1");
+        let entry = server_entry(service, server.addr(), version);
         self.servers.insert(id.to_owned(), (server, entry));
         self.list(id)
     }
@@ -348,6 +393,21 @@
         self.list(id)
     }
 
+    fn find_endless(&self, id: &str) -> Result<&EndlessServer> {
+        self.endless.get(id).with_context(|| format!("there is no endless server {id:?}"))
+    }
+
+    /// Waits until an endless server sends on the given number of connections.
+    async fn wait_sending(&self, id: &str, count: u64) -> Result<()> {
+        let start = Instant::now();
+        let server = self.find_endless(id)?;
+        while server.sending() != count {
+            ensure!(start.elapsed() < WAIT_TIMEOUT, "it sends on {}", server.sending());
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
     fn find_server(&self, id: &str) -> Result<&SiteServer> {
         self.servers
             .get(id)
@@ -583,6 +643,29 @@
     })
 }
 
+/// The list entry of a server.
+fn server_entry(service: &str, addr: SocketAddr, version: &str) -> Value {
+    json!({ "service": service, "address": addr, "zone": "z1", "version": version, "slots": 8,
+        "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 1000 })
+}
+
+/// Parses the part of an `endless` step.
+fn parse_endless(part: &str) -> Result<EndlessPart> {
+    Ok(match part {
+        "head" => EndlessPart::Head,
+        "status-line" => EndlessPart::StatusLine,
+        "informational" => EndlessPart::Informational,
+        "chunk-size" => EndlessPart::ChunkSize,
+        "chunk-extension" => EndlessPart::ChunkExtension,
+        "body" => EndlessPart::Body,
+        "wrong-id" => EndlessPart::WrongId,
+        "trailers" => EndlessPart::Trailers,
+        "event" => EndlessPart::Event,
+        "slow-event" => EndlessPart::SlowEvent,
+        _ => bail!("unknown part: {part:?}"),
+    })
+}
+
 /// Replaces the escapes of a `raw`, `says` or `lacks` step.
 fn unescape(text: &str) -> String {
     text.replace("\\s", " ").replace("\\r", "\r").replace("\\n", "\n")
