Restarting instances learn tables and states of rollouts sooner

Change: an instance that restarts asks others for 20 ms and then reads the store; a new order wakes the task that learns its state, which asks the store at once if no other instance knows.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -41,9 +41,9 @@
 const PROBE_WAIT: Duration = Duration::from_secs(3);
 /// How long after its start an instance looks for another that has a table before it
 /// reads the store, unless the whole installation starts for the first time.
-const PEER_PATIENCE: Duration = Duration::from_millis(120);
+const PEER_PATIENCE: Duration = Duration::from_millis(20);
 /// How long it waits before it asks others again meanwhile.
-const PEER_RETRY: Duration = Duration::from_millis(30);
+const PEER_RETRY: Duration = Duration::from_millis(8);
 /// How long a starting instance waits for news of a table before it asks others again.
 const LOAD_RETRY: Duration = Duration::from_millis(250);
 /// How long after its start an instance that knows few others waits before it reads a
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::event_log::{EventLog, log_event};
@@ -111,6 +112,7 @@
             pressures: RefCell::default(),
             crashes: RefCell::default(),
             rollouts: RefCell::default(),
+            rollout_started: Notify::new(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(self.seed)),
             drain_schedule: Cell::new(None),
             members: Cell::new(1),
@@ -150,6 +152,8 @@
     /// Recent crashes: the fingerprint of the request and the server that crashed.
     pub(crate) crashes: RefCell<VecDeque<(u64, Name)>>,
     pub(crate) rollouts: RefCell<HashMap<Name, TrackedRollout>>,
+    /// Notified when an order becomes known.
+    pub(crate) rollout_started: Notify,
     catalog: RefCell<Option<Arc<Catalog>>>,
     directory_loaded: Cell<bool>,
     rng: RefCell<ChaCha8Rng>,
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -26,8 +26,6 @@
 const READ_STAGGER: Duration = Duration::from_millis(400);
 /// How long an instance that is not a hub waits before it reads the stored states.
 const STATES_PATIENCE: Duration = Duration::from_secs(3);
-/// How long it waits while it starts.
-const START_PATIENCE: Duration = Duration::from_millis(200);
 /// How long after its start an instance asks others for the states.
 const STARTUP_TIME: Duration = Duration::from_secs(3);
 /// Name of the task of reading the states of all rollouts.
@@ -165,7 +163,10 @@
 /// from them.
 pub async fn run_rollouts<D, S: RolloutStore>(gateway: Rc<Gateway<D>>, peers: Rc<Peers>, store: S) {
     loop {
-        tokio::time::sleep(DECIDE_INTERVAL).await;
+        tokio::select! {
+            () = tokio::time::sleep(DECIDE_INTERVAL) => {}
+            () = gateway.rollout_started.notified() => {}
+        }
         learn_states(&gateway, &peers, &store).await;
         let now = gateway.now();
         let Role::Hub(position) = peers.role(ROLLOUT_TASK, now) else { continue };
@@ -207,8 +208,8 @@
         return;
     }
     let patience = match peers.role(ROLLOUT_TASK, now) {
+        _ if is_starting => Duration::ZERO,
         Role::Hub(position) => READ_STAGGER * position as u32,
-        Role::Member(_) if is_starting => START_PATIENCE,
         Role::Member(position) => STATES_PATIENCE + READ_STAGGER * position as u32,
     };
     if known_for >= patience
@@ -348,6 +349,7 @@
             decided_at: None,
         };
         rollouts.insert(service, tracked);
+        self.rollout_started.notify_one();
     }
 
     /// Whether it is known of all orders what the store holds of them.
