Observability: how old each table is, and how long a failed store call was open

No decision reads any of these.

Tests: ages_count_from_the_newest_confirmation, ages_survive_a_check_of_stale_tables.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -256,6 +256,7 @@
 
     /// Reads the whole table from the store; returns whether this succeeded.
     async fn read_table(&mut self) -> bool {
+        self.health.called_at = self.gateway.now();
         let page = match self.shared.store.read(self.table).await {
             Ok(page) => page,
             Err(error) => {
@@ -268,6 +269,7 @@
         let known = KnownRevision { revision: page.revision, changed: page.revision };
         self.log_loaded("store", page.revision, page.rows.len());
         self.replace(page.rows, known, outage).await;
+        self.confirm(now);
         // An instance that starts later reads for itself only.
         let is_reader = self.peers.first_start || self.peers.is_hub(now);
         self.peers.record_answer(self.table, now, self.health.is_settling(now), is_reader);
@@ -302,6 +304,12 @@
         }
     }
 
+    /// Records that the table holds what the store held at `at`.
+    fn confirm(&self, at: MonotonicTime) {
+        let (revision, now) = (self.known().revision, self.gateway.now());
+        self.gateway.freshness.borrow_mut().confirm(self.table, at, revision, now);
+    }
+
     /// The revision up to which the table is known.
     fn known(&self) -> KnownRevision {
         self.peers.known(self.table)
@@ -316,7 +324,9 @@
         let delta = loop {
             tokio::select! {
                 delta = &mut fetching => break delta,
-                Some(received) = self.updates.recv() => self.record_reader(&received),
+                Some(received) = self.updates.recv() => {
+                    self.record_reader(&received);
+                }
             }
         };
         let how = if delta.is_some() { "fetched" } else { "not_fetched" };
@@ -385,6 +395,7 @@
     /// answer arrives.
     async fn request_changes(&mut self, wait: Duration) -> Result<Page, StoreError> {
         let shared = self.shared.clone();
+        self.health.called_at = self.gateway.now();
         let call = shared.store.feed(self.table, self.known().revision, wait);
         tokio::pin!(call);
         loop {
@@ -425,19 +436,21 @@
         }
     }
 
-    /// Records what an update says of the instance that reads the table.
-    fn record_reader(&mut self, received: &ReceivedUpdate) {
+    /// Records what an update says of the instance that reads the table; returns when the
+    /// store answered that instance.
+    fn record_reader(&mut self, received: &ReceivedUpdate) -> MonotonicTime {
         let now = self.gateway.now();
         let answered = now.saturating_sub(Duration::from_millis(received.update.age_ms));
         self.election.record_peer_answer(answered, received.from_earlier);
         if received.from_outside {
             self.peers.record_answer(self.table, answered, received.update.unsettled, false);
         }
+        answered
     }
 
     /// Applies an update of another instance; returns its sender if rows are missing.
     async fn apply_update(&mut self, received: ReceivedUpdate) -> Option<SocketAddr> {
-        self.record_reader(&received);
+        let answered = self.record_reader(&received);
         let ReceivedUpdate { update, from, .. } = received;
         if update.unsettled {
             self.health.recovered_at = Some(self.gateway.now());
@@ -449,9 +462,13 @@
         };
         Metrics::count(&self.gateway.metrics.table_updates, effect.name());
         match effect {
-            UpdateEffect::None => None,
+            UpdateEffect::None => {
+                self.confirm(answered);
+                None
+            }
             UpdateEffect::Rows(rows) => {
                 self.change(rows.clone(), update.known.revision, update.unsettled).await;
+                self.confirm(answered);
                 let (known, unsettled) = (self.known(), update.unsettled);
                 let updates = split_updates(self.table, &rows, before.changed, known, unsettled);
                 self.pass_on(updates).await;
@@ -481,6 +498,7 @@
                 self.peers.send_updates_to_hub(updates, now).await;
             }
         }
+        self.confirm(now);
         let window = match mode {
             FeedMode::OwnFeed => F::BATCH_WINDOW,
             FeedMode::ReadForOthers => {
@@ -497,8 +515,15 @@
     /// Handles a failed call: records it and backs off, or waits for the prober.
     async fn call_failed(&mut self, error: &StoreError) {
         if self.health.failures == 0 {
-            let fields = json!({ "table": self.table, "why": error.to_string() });
-            log_event("store_lost", self.gateway.now(), fields);
+            let now = self.gateway.now();
+            let pending = now.saturating_sub(self.health.called_at);
+            let fields = json!({
+                "table": self.table,
+                "why": error.to_string(),
+                "pending_ms": pending.as_millis() as u64,
+                "revision": self.known().revision,
+            });
+            log_event("store_lost", now, fields);
         }
         Metrics::count(&self.gateway.metrics.store_calls, error.name());
         self.election.record_own_answer(false);
@@ -551,6 +576,8 @@
 struct StoreHealth {
     /// Number of consecutive failed calls.
     failures: u32,
+    /// When the last call began.
+    called_at: MonotonicTime,
     /// When the store last became available again.
     recovered_at: Option<MonotonicTime>,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::event_log::{EventLog, log_event};
+use crate::freshness::Freshness;
 use crate::metrics::Metrics;
 use crate::rollouts::TrackedRollout;
 
@@ -111,6 +112,7 @@
             poison: RefCell::new(Poison::new(CRASHES_TO_BLOCK)),
             pressures: RefCell::default(),
             crashes: RefCell::default(),
+            freshness: RefCell::default(),
             rollouts: RefCell::default(),
             rollout_started: Notify::new(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(self.seed)),
@@ -151,6 +153,8 @@
     pub(crate) pressures: RefCell<HashMap<Name, Pressure>>,
     /// Recent crashes: the fingerprint of the request and the server that crashed.
     pub(crate) crashes: RefCell<VecDeque<(u64, Name)>>,
+    /// When the tables of the store were last confirmed.
+    pub(crate) freshness: RefCell<Freshness>,
     pub(crate) rollouts: RefCell<HashMap<Name, TrackedRollout>>,
     /// Notified when an order becomes known.
     pub(crate) rollout_started: Notify,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,8 @@
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
@@ -19,6 +21,13 @@
     pub reason: &'static str,
 }
 
+/// The label set of metrics that are broken down by table of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct TableLabel {
+    /// The table.
+    pub table: &'static str,
+}
+
 /// The metrics of the forwarding path and their registry.
 ///
 /// Some fields have other names than the metrics that they are exported as; `register` sets
@@ -50,6 +59,8 @@
     pub store_calls: Family<Reason, Counter>,
     /// Table updates received from the readers of the failure domain, by their effect.
     pub table_updates: Family<Reason, Counter>,
+    /// Time since a table was last confirmed to hold what the store holds.
+    pub table_age: Family<TableLabel, Gauge<f64, AtomicU64>>,
     /// Log lines dropped by the rate limit.
     pub dropped_lines: Counter,
 }
@@ -70,6 +81,7 @@
             members: Gauge::default(),
             store_calls: Family::default(),
             table_updates: Family::default(),
+            table_age: Family::default(),
             dropped_lines: Counter::default(),
         };
         metrics.register();
@@ -106,6 +118,12 @@
         registry.register("store_calls", "Reads and feeds of the store by how they ended", calls);
         let updates = self.table_updates.clone();
         registry.register("words", "What the domain's readers told, by its worth here", updates);
+        registry.register_with_unit(
+            "table_age",
+            "Time since the store last confirmed a table, here or at an instance that reported it",
+            Unit::Seconds,
+            self.table_age.clone(),
+        );
         let dropped = self.dropped_lines.clone();
         registry.register("lines_left_out", "Log lines left out to bound their number", dropped);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -405,6 +405,7 @@
         loop {
             tokio::time::sleep(ANSWERS_INTERVAL).await;
             let now = gateway.now();
+            gateway.freshness.borrow_mut().check(now);
             let answers = self.answers.borrow().clone();
             for (table, answer) in answers {
                 let age = now.saturating_sub(answer.at);
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -14,6 +14,7 @@
 
 use crate::body::ResponseBody;
 use crate::gateway::Gateway;
+use crate::metrics::TableLabel;
 
 const METRICS_PATH: &str = "/metrics";
 
@@ -54,7 +55,7 @@
     ready_path: &str,
 ) -> Response<ResponseBody> {
     let (status, body) = match request.uri().path() {
-        METRICS_PATH => (StatusCode::OK, gateway.metrics.encode()),
+        METRICS_PATH => (StatusCode::OK, encode_metrics(gateway)),
         path if path == ready_path && gateway.ready() => (StatusCode::OK, "ready".to_owned()),
         path if path == ready_path => (StatusCode::SERVICE_UNAVAILABLE, "not ready".to_owned()),
         _ => (StatusCode::NOT_FOUND, String::new()),
@@ -63,3 +64,11 @@
     *response.status_mut() = status;
     response
 }
+
+fn encode_metrics<D>(gateway: &Gateway<D>) -> String {
+    for (table, age) in gateway.freshness.borrow().ages(gateway.now()) {
+        let gauge = gateway.metrics.table_age.get_or_create(&TableLabel { table });
+        gauge.set(age.as_secs_f64());
+    }
+    gateway.metrics.encode()
+}
