--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -8,9 +8,9 @@
 use serde_json::json;
 
 use crate::event_log::log_event;
-use crate::follow::StoreError;
 use crate::gateway::Gateway;
 use crate::peers::Peers;
+use crate::tables::StoreError;
 
 /// Interval at which a starting instance checks whether others answered.
 const JOIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
