Polls that are lost in a silent outage of the store are noticed within 0.8 s

Cause: where a domain has fewer than four instances, each followed a table through one poll of up to 25 s. A poll sent while the store is silent is never answered, though the store comes back and the connection stays open: TCP keep-alive probes are answered. The instance took the silence for "nothing has changed" for 27.5 s. All polls are sent within milliseconds after a change, so all instances lost theirs together, and no instance was left that reads for the others.

Class: silence taken as an answer; the only evidence of a dependency's health was one call with a time limit beyond the bound that depends on it. Elsewhere: the reader's polls on larger sites had 3.2 s, more than the 3 s in which a site must be up to date again; reads of whole tables 2.5 s and a pause each time; a follower waited up to 3 s for another table's.

Ruled out: rows that arrived and were not applied; a revision moved past its rows by another instance's update; a time limit shorter than 25 s for every poll (cost grows with instances, and a slow store would never be heard).

Change: there is always a reader, also in small installations. A poll that is overdue by 0.8 s is repeated on a new connection while it stays open, at most four at a time; the first answer counts. A long poll is replaced when the reader reports that the store was away or a change that the poll should have returned. Polls and fetches no longer wait for each other. Whole tables are read again after 1.2 s. Why it works: the time until an answer is missed no longer depends on the call that may be lost, only on 0.8 s and the reader's reports.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,7 +11,8 @@
 //! - [`Cascade`]: which model answers first, and when a larger one is asked instead;
 //! - [`RetryBudget`]: whether a request may be sent again;
 //! - [`Rollout`]: which version of a service gets a request;
-//! - [`ReaderElection`]: which instance reads the store for the others.
+//! - [`ReaderElection`]: which instance reads the store for the others;
+//! - [`PollSchedule`]: when an instance polls the store, and again if an answer is lost.
 
 mod admission;
 mod budget;
@@ -19,6 +20,7 @@
 mod catalog;
 mod fleet;
 mod place;
+mod poll_schedule;
 mod reader_election;
 mod rollout;
 mod sessions;
@@ -31,6 +33,7 @@
 };
 pub use fleet::{Fleet, LoadReport, Outcome, PromptPartKey, Server, ServerInfo, ServerLoad};
 pub use place::{Placement, PlacementError, PlacementRequest, PromptPart, place};
+pub use poll_schedule::{PollSchedule, PollSituation, PollStep, READER_POLL_WAIT};
 pub use reader_election::{FeedMode, READER_TIMEOUT, ReaderElection};
 pub use rollout::{
     Decision, Phase, Rollout, RolloutOrder, RolloutState, RolloutStats, Sample, Side, in_canary,
--- a/crates/dispatch/src/reader_election.rs
+++ b/crates/dispatch/src/reader_election.rs
@@ -8,9 +8,6 @@
 
 use crate::MonotonicTime;
 
-/// Minimum number of instances at which one reads for all. With fewer,
-/// long-polling feeds of their own cost fewer calls than the reader's short ones.
-const MIN_SHARED_INSTANCES: usize = 4;
 /// How long after an answer of the store other instances refrain from reading: covers
 /// the reader's long poll, its pause and two lost datagrams.
 pub const READER_TIMEOUT: Duration = Duration::from_millis(1_150);
@@ -22,8 +19,6 @@
 /// How an instance receives the next changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FeedMode {
-    /// Long-poll the store for this instance only.
-    OwnFeed,
     /// Poll the store with short calls and forward the changes.
     ReadForOthers,
     /// Wait for the reader's updates until this time.
@@ -59,21 +54,13 @@
 
     /// Returns how to receive the next changes, given this instance's position in the
     /// order of the instances.
-    pub fn next_mode(&mut self, position: usize, instances: usize, now: MonotonicTime) -> FeedMode {
-        let mode = self.choose(position, instances, now);
+    pub fn next_mode(&mut self, position: usize, now: MonotonicTime) -> FeedMode {
+        let mode = self.choose(position, now);
         self.reading = mode == FeedMode::ReadForOthers && !self.failing;
         mode
     }
 
-    /// Whether, among this number of instances, one reads for all.
-    pub fn shares_reader(instances: usize) -> bool {
-        instances >= MIN_SHARED_INSTANCES
-    }
-
-    fn choose(&self, position: usize, instances: usize, now: MonotonicTime) -> FeedMode {
-        if !Self::shares_reader(instances) {
-            return FeedMode::OwnFeed;
-        }
+    fn choose(&self, position: usize, now: MonotonicTime) -> FeedMode {
         if position == 0 && !self.failing {
             return FeedMode::ReadForOthers;
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,5 +1,5 @@
-//! Follows tables of the store, either through a long-polled feed or through the updates
-//! of the instance that reads for all.
+//! Follows tables of the store, through polls and through the updates of the instance that
+//! reads for all.
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -8,10 +8,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dispatch::{FeedMode, MonotonicTime, ReaderElection};
+use dispatch::{FeedMode, MonotonicTime, PollSchedule, PollSituation, PollStep, ReaderElection};
 use serde_json::json;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::Receiver;
+use tokio::task::JoinSet;
 
 use crate::event_log::log_event;
 use crate::gateway::Gateway;
@@ -21,13 +22,7 @@
 use crate::tables::{Follower, Page, StoreError, Tables};
 use crate::updates::{KnownRevision, ReceivedUpdate, TableUpdate, UpdateEffect, split_updates};
 
-/// Maximum duration of a long poll for this instance's own feed.
-const FEED_WAIT: Duration = Duration::from_secs(25);
-/// Maximum duration of a long poll by the reader of a domain. Its answers, including
-/// empty ones, show the others that the store is reachable.
-const READER_FEED_WAIT: Duration = Duration::from_millis(700);
-/// How long a domain's reader pauses after changes, so that further ones are read
-/// together.
+/// How long the reader pauses after changes, so that further ones are read together.
 const READER_BATCH_WINDOW: Duration = Duration::from_millis(250);
 /// First backoff after a failed call; doubles each time.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -36,9 +31,14 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// Maximum backoff of an instance whose hub calls the store as well.
 const MAX_BACKOFF_BEHIND_HUB: Duration = Duration::from_secs(6);
+/// How long the store may take to answer, beyond the duration of a poll, before the poll is
+/// repeated.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(800);
+/// How long the read of a whole table may take before it is repeated.
+const READ_PATIENCE: Duration = Duration::from_millis(1_200);
 /// How long the follower of a table waits for another table's follower to find the
-/// store available again.
-const PROBE_WAIT: Duration = Duration::from_secs(3);
+/// store available again. Parts of the store may recover at different times.
+const PROBE_WAIT: Duration = Duration::from_millis(1_500);
 /// How long after its start an instance looks for another that has a table before it
 /// reads the store, unless the whole installation starts for the first time.
 const PEER_PATIENCE: Duration = Duration::from_millis(20);
@@ -46,9 +46,6 @@
 const PEER_RETRY: Duration = Duration::from_millis(8);
 /// How long a starting instance waits for news of a table before it asks others again.
 const LOAD_RETRY: Duration = Duration::from_millis(250);
-/// How long after its start an instance that knows few others waits before it reads a
-/// table: others may not have been heard from yet.
-const MIN_LOAD_DELAY: Duration = Duration::from_millis(600);
 /// Interval at which a listening instance checks whether it is its turn to read.
 const ROLE_CHECK: Duration = Duration::from_millis(300);
 /// How long after an outage other instances may still be reading the changes made
@@ -64,14 +61,14 @@
     recovered: Notify,
 }
 
-impl<T: Tables> FollowedStore<T> {
+impl<T: Tables + 'static> FollowedStore<T> {
     /// Creates a store without followers.
     pub fn new(store: T) -> Rc<Self> {
         Rc::new(FollowedStore { store, prober: Cell::default(), recovered: Notify::new() })
     }
 
     /// Follows a table until the process ends.
-    pub async fn follow<D, F: Follower>(
+    pub async fn follow<D: 'static, F: Follower>(
         self: Rc<Self>,
         gateway: Rc<Gateway<D>>,
         peers: Rc<Peers>,
@@ -87,11 +84,37 @@
             table,
             follower,
             election: ReaderElection::default(),
+            schedule: PollSchedule::default(),
+            polls: JoinSet::new(),
+            fetches: JoinSet::new(),
             health: StoreHealth::default(),
         };
         task.run().await;
     }
 
+    /// Reads a whole table. If this takes long, reads it again on a new connection, and
+    /// returns what arrives first.
+    async fn read_page(&self, table: &'static str) -> Result<Page, StoreError> {
+        let first = self.store.read(table);
+        tokio::pin!(first);
+        if let Ok(result) = tokio::time::timeout(READ_PATIENCE, &mut first).await {
+            return result;
+        }
+        self.store.reconnect();
+        let second = self.store.read(table);
+        tokio::pin!(second);
+        tokio::select! {
+            result = &mut first => match result {
+                Ok(page) => Ok(page),
+                Err(_) => second.await,
+            },
+            result = &mut second => match result {
+                Ok(page) => Ok(page),
+                Err(_) => first.await,
+            },
+        }
+    }
+
     /// Whether this table's follower is the one that probes the store; if there is none,
     /// it becomes the prober.
     fn is_prober(&self, table: &'static str) -> bool {
@@ -119,10 +142,15 @@
     follower: F,
     updates: Receiver<ReceivedUpdate>,
     election: ReaderElection,
+    schedule: PollSchedule,
+    /// The open polls.
+    polls: JoinSet<Result<Page, StoreError>>,
+    /// The open fetch from another instance, if there is one.
+    fetches: JoinSet<Option<TableDelta>>,
     health: StoreHealth,
 }
 
-impl<D, T: Tables, F: Follower> FollowTask<D, T, F> {
+impl<D: 'static, T: Tables + 'static, F: Follower> FollowTask<D, T, F> {
     async fn run(mut self) {
         if self.peers.first_start {
             self.peers.joined().await;
@@ -132,8 +160,8 @@
         }
         self.load().await;
         loop {
-            self.follow_feed().await;
-            while !self.read_table().await {}
+            self.follow_changes().await;
+            self.read_table().await;
         }
     }
 
@@ -149,22 +177,45 @@
                 self.log_loaded("peer", delta.known.revision, delta.rows.len());
                 return self.apply_delta(delta).await;
             }
-            let now = self.gateway.now();
-            if !self.peers.first_start {
-                if now >= PEER_PATIENCE && self.read_table().await {
-                    return;
-                }
-                source = self.next_sender(PEER_RETRY).await;
-                continue;
+            let patience = self.load_delay();
+            if patience.is_zero() && self.read_or_fetch().await {
+                return;
             }
-            let (position, instances) = self.peers.reader_position(self.table, now);
-            match self.election.next_mode(position, instances, now) {
-                FeedMode::Listen(_) => source = self.next_sender(LOAD_RETRY).await,
-                FeedMode::OwnFeed if now < MIN_LOAD_DELAY => {
-                    source = self.next_sender(LOAD_RETRY).await;
+            source = self.next_sender(patience.max(PEER_RETRY)).await;
+        }
+    }
+
+    /// How long to look for another instance that has the table before this one reads the
+    /// store.
+    fn load_delay(&mut self) -> Duration {
+        let now = self.gateway.now();
+        if !self.peers.first_start {
+            return if now < PEER_PATIENCE { PEER_RETRY } else { Duration::ZERO };
+        }
+        let position = self.peers.reader_position(self.table, now);
+        match self.election.next_mode(position, now) {
+            FeedMode::Listen(_) => LOAD_RETRY,
+            FeedMode::ReadForOthers => Duration::ZERO,
+        }
+    }
+
+    /// Reads the whole table, or fetches it from an instance that has it by then; returns
+    /// whether it is loaded.
+    async fn read_or_fetch(&mut self) -> bool {
+        self.health.called_at = self.gateway.now();
+        let shared = self.shared.clone();
+        let reading = shared.read_page(self.table);
+        tokio::pin!(reading);
+        loop {
+            tokio::select! {
+                page = &mut reading => return self.apply_table(page).await,
+                sender = self.next_sender(LOAD_RETRY) => {
+                    if sender.is_some() && let Some(delta) = self.fetch(sender).await {
+                        self.log_loaded("peer", delta.known.revision, delta.rows.len());
+                        self.apply_delta(delta).await;
+                        return true;
+                    }
                 }
-                FeedMode::OwnFeed | FeedMode::ReadForOthers if self.read_table().await => return,
-                FeedMode::OwnFeed | FeedMode::ReadForOthers => {}
             }
         }
     }
@@ -182,13 +233,24 @@
         }
     }
 
-    /// Reads the whole table from the store; returns whether this succeeded.
-    async fn read_table(&mut self) -> bool {
-        self.health.called_at = self.gateway.now();
-        let page = match self.shared.store.read(self.table).await {
+    /// Reads the whole table from the store.
+    async fn read_table(&mut self) {
+        loop {
+            self.health.called_at = self.gateway.now();
+            let page = self.shared.read_page(self.table).await;
+            if self.apply_table(page).await {
+                return;
+            }
+            self.wait_to_resume().await;
+        }
+    }
+
+    /// Applies the whole table as read from the store; returns whether the read succeeded.
+    async fn apply_table(&mut self, page: Result<Page, StoreError>) -> bool {
+        let page = match page {
             Ok(page) => page,
             Err(error) => {
-                self.call_failed(&error).await;
+                self.call_failed(&error);
                 return false;
             }
         };
@@ -257,8 +319,7 @@
                 }
             }
         };
-        let how = if delta.is_some() { "fetched" } else { "not_fetched" };
-        Metrics::count(&self.gateway.metrics.table_updates, how);
+        self.count_fetch(delta.is_some());
         delta
     }
 
@@ -289,75 +350,133 @@
     }
 
     /// Applies changes until the history needed to continue has been compacted.
-    async fn follow_feed(&mut self) {
+    async fn follow_changes(&mut self) {
+        let shared = self.shared.clone();
         loop {
-            let now = self.gateway.now();
-            let (position, instances) = self.peers.reader_position(self.table, now);
-            let mode = self.election.next_mode(position, instances, now);
-            let result = match mode {
-                FeedMode::OwnFeed => self.request_changes(FEED_WAIT).await,
-                FeedMode::ReadForOthers => self.request_changes(READER_FEED_WAIT).await,
-                FeedMode::Listen(until) => match self.listen(until).await {
-                    Some(source) => match self.fetch(Some(source)).await {
-                        Some(delta) => {
-                            self.apply_delta(delta).await;
-                            continue;
-                        }
-                        None => self.request_changes(Duration::ZERO).await,
-                    },
-                    None => continue,
+            let wake_at = self.start_due_polls();
+            tokio::select! {
+                Some(poll) = self.polls.join_next() => match poll {
+                    Ok(Ok(page)) => self.apply_page(page).await,
+                    Ok(Err(StoreError::Compacted)) => {
+                        let calls = &self.gateway.metrics.store_calls;
+                        Metrics::count(calls, StoreError::Compacted.name());
+                        return self.drop_polls();
+                    }
+                    Ok(Err(error)) => self.poll_failed(&error),
+                    Err(error) => log::debug!("poll of table {} ended: {error}", self.table),
                 },
-            };
-            match result {
-                Ok(page) => self.apply_page(page, mode).await,
-                Err(StoreError::Compacted) => {
-                    let calls = &self.gateway.metrics.store_calls;
-                    return Metrics::count(calls, StoreError::Compacted.name());
+                Some(fetched) = self.fetches.join_next() => {
+                    self.apply_fetched(fetched.unwrap_or_default()).await;
                 }
-                Err(error) => self.call_failed(&error).await,
+                Some(received) = self.updates.recv() => self.follow_update(received).await,
+                () = shared.recovered.notified() => self.schedule.resume(self.gateway.now()),
+                () = tokio::time::sleep_until(self.gateway.instant(wake_at)) => {}
             }
         }
     }
 
-    /// Requests changes from the store and applies updates of other instances until the
-    /// answer arrives.
-    async fn request_changes(&mut self, wait: Duration) -> Result<Page, StoreError> {
-        let shared = self.shared.clone();
-        self.health.called_at = self.gateway.now();
-        let call = shared.store.feed(self.table, self.known().revision, wait);
-        tokio::pin!(call);
+    /// Starts the polls that are due, and returns when to look again.
+    fn start_due_polls(&mut self) -> MonotonicTime {
         loop {
-            tokio::select! {
-                answer = &mut call => return answer,
-                Some(received) = self.updates.recv() => {
-                    self.apply_update(received).await;
+            let now = self.gateway.now();
+            let situation = self.situation(now);
+            match self.schedule.next_step(situation) {
+                PollStep::Poll(wait) => {
+                    self.health.called_at = now;
+                    self.start_poll(wait);
+                }
+                PollStep::Repeat => {
+                    self.record_overdue();
+                    self.shared.store.reconnect();
+                    self.start_poll(Duration::ZERO);
+                }
+                PollStep::Replace(wait) => {
+                    Metrics::count(&self.gateway.metrics.store_calls, "overdue");
+                    self.polls = JoinSet::new();
+                    self.shared.store.reconnect();
+                    self.health.called_at = now;
+                    self.start_poll(wait);
                 }
-            };
+                // A change of role is noticed in time.
+                PollStep::Wait(until) => return until.min(now + ROLE_CHECK),
+            }
         }
     }
 
-    /// Waits for one update, at most until a time; returns its sender if rows are
-    /// missing.
-    async fn listen(&mut self, until: MonotonicTime) -> Option<SocketAddr> {
-        // A change of role is noticed in time.
-        let until = self.gateway.instant(until.min(self.gateway.now() + ROLE_CHECK));
-        let received = tokio::time::timeout_at(until, self.updates.recv()).await.ok()??;
+    fn situation(&mut self, now: MonotonicTime) -> PollSituation {
+        let position = self.peers.reader_position(self.table, now);
+        let patience = match self.peers.relies_on_hub(now) {
+            true => MAX_BACKOFF_BEHIND_HUB,
+            false => ANSWER_PATIENCE,
+        };
+        let mode = self.election.next_mode(position, now);
+        PollSituation { mode, holds_poll: self.peers.holds_poll(now), patience, now }
+    }
+
+    fn start_poll(&mut self, wait: Duration) {
+        let (shared, table, since) = (self.shared.clone(), self.table, self.known().revision);
+        self.polls.spawn_local(async move { shared.store.feed(table, since, wait).await });
+    }
+
+    /// Abandons the open polls.
+    fn drop_polls(&mut self) {
+        self.polls = JoinSet::new();
+        self.schedule.record_answer();
+    }
+
+    /// Fetches what is missing from another instance, unless a fetch is open.
+    fn start_fetch(&mut self, source: SocketAddr) {
+        if !self.fetches.is_empty() {
+            return;
+        }
+        let (peers, gateway, table) = (self.peers.clone(), self.gateway.clone(), self.table);
+        let (since, now) = (self.known().revision, gateway.now());
+        self.fetches.spawn_local(async move {
+            peers.fetch(&gateway.pool, table, since, Some(source), now).await
+        });
+    }
+
+    /// Applies what was fetched. If that is nothing, asks the store.
+    async fn apply_fetched(&mut self, delta: Option<TableDelta>) {
+        self.count_fetch(delta.is_some());
+        match delta {
+            Some(delta) => self.apply_delta(delta).await,
+            None => self.schedule.catch_up(self.gateway.now()),
+        }
+    }
+
+    fn count_fetch(&self, found: bool) {
+        let how = if found { "fetched" } else { "not_fetched" };
+        Metrics::count(&self.gateway.metrics.table_updates, how);
+    }
+
+    /// Applies an update of another instance, and fetches the rows that it lacks.
+    async fn follow_update(&mut self, received: ReceivedUpdate) {
+        let now = self.gateway.now();
+        let (unsettled, was_settling) = (received.update.unsettled, self.health.is_settling(now));
+        let before = self.known().revision;
         let source = self.apply_update(received).await;
-        if source.is_none() {
-            self.reset_failures_after_update();
+        if unsettled && !was_settling {
+            self.schedule.record_outage(now);
+        }
+        if source.is_some() || self.known().changed > before {
+            self.schedule.expect_answer(ANSWER_PATIENCE, now);
+        }
+        match source {
+            Some(source) => self.start_fetch(source),
+            None if self.situation(now).mode != FeedMode::ReadForOthers => {
+                self.reset_failures_after_update();
+            }
+            None => {}
         }
-        source
     }
 
-    /// Pauses and applies updates of other instances meanwhile. While the store does not
-    /// answer, fetches what they announce.
-    async fn pause(&mut self, pause: Duration) {
-        let until = tokio::time::Instant::now() + pause;
+    /// Waits for the end of a pause and applies updates of other instances meanwhile.
+    async fn wait_to_resume(&mut self) {
+        let until = self.gateway.instant(self.schedule.resume_at());
         while let Ok(Some(received)) = tokio::time::timeout_at(until, self.updates.recv()).await {
-            let source = self.apply_update(received).await;
-            if source.is_some()
-                && self.health.failures > 0
-                && let Some(delta) = self.fetch(source).await
+            if let Some(source) = self.apply_update(received).await
+                && let Some(delta) = self.fetch(Some(source)).await
             {
                 self.apply_delta(delta).await;
             }
@@ -407,10 +526,12 @@
     }
 
     /// Applies an answer of the store and forwards it if this instance reads for others.
-    async fn apply_page(&mut self, page: Page, mode: FeedMode) {
+    async fn apply_page(&mut self, page: Page) {
+        self.drop_polls();
         let now = self.gateway.now();
         let recovered = self.call_succeeded();
-        let outage = recovered || (mode != FeedMode::ReadForOthers && self.health.is_settling(now));
+        let is_reader = self.situation(now).mode == FeedMode::ReadForOthers;
+        let outage = recovered || (!is_reader && self.health.is_settling(now));
         let before = self.known();
         let has_rows = !page.rows.is_empty();
         // Updates applied during the call may be newer than its answer.
@@ -418,58 +539,74 @@
             self.change(page.rows.clone(), page.revision, outage).await;
             let updates =
                 split_updates(self.table, &page.rows, before.changed, self.known(), outage);
-            // Where each instance has a feed, hubs pass changes on to instances that the
-            // store turns away.
-            if mode == FeedMode::ReadForOthers || self.peers.is_hub(now) {
+            // Hubs pass changes on to instances that the store turns away.
+            if is_reader || self.peers.is_hub(now) {
                 self.peers.send_updates(updates, true, now).await;
-            } else if mode == FeedMode::OwnFeed {
+            } else {
                 self.peers.send_updates_to_hub(updates, now).await;
             }
         }
         self.confirm(now);
-        let window = match mode {
-            FeedMode::OwnFeed => F::BATCH_WINDOW,
-            FeedMode::ReadForOthers => {
-                self.peers.record_answer(self.table, now, self.health.is_settling(now), true);
-                READER_BATCH_WINDOW
-            }
-            FeedMode::Listen(_) => return,
-        };
+        if is_reader {
+            self.peers.record_answer(self.table, now, self.health.is_settling(now), true);
+        }
         if has_rows {
-            self.pause(window).await;
+            let window = if is_reader { READER_BATCH_WINDOW } else { F::BATCH_WINDOW };
+            self.schedule.pause(now + window);
         }
     }
 
-    /// Handles a failed call: records it and backs off, or waits for the prober.
-    async fn call_failed(&mut self, error: &StoreError) {
+    /// Handles a poll that failed.
+    fn poll_failed(&mut self, error: &StoreError) {
+        if self.schedule.record_failure() {
+            self.call_failed(error);
+        } else {
+            Metrics::count(&self.gateway.metrics.store_calls, error.name());
+        }
+    }
+
+    /// Records that the answer of the store is overdue.
+    fn record_overdue(&mut self) {
         if self.health.failures == 0 {
-            let now = self.gateway.now();
-            let pending = now.saturating_sub(self.health.called_at);
-            let fields = json!({
-                "table": self.table,
-                "why": error.to_string(),
-                "pending_ms": pending.as_millis() as u64,
-                "revision": self.known().revision,
-            });
-            log_event("store_lost", now, fields);
+            self.log_store_lost(&"the answer is overdue");
+        }
+        Metrics::count(&self.gateway.metrics.store_calls, "overdue");
+        self.election.record_own_answer(false);
+        self.health.failures += 1;
+    }
+
+    fn log_store_lost(&self, reason: &dyn fmt::Display) {
+        let now = self.gateway.now();
+        let pending = now.saturating_sub(self.health.called_at);
+        let fields = json!({
+            "table": self.table,
+            "why": reason.to_string(),
+            "pending_ms": pending.as_millis() as u64,
+            "revision": self.known().revision,
+        });
+        log_event("store_lost", now, fields);
+    }
+
+    /// Handles a failed call: pauses for a backoff, or until the prober finds the store
+    /// available again.
+    fn call_failed(&mut self, error: &StoreError) {
+        if self.health.failures == 0 {
+            self.log_store_lost(error);
         }
         Metrics::count(&self.gateway.metrics.store_calls, error.name());
         self.election.record_own_answer(false);
-        let max_backoff = match self.peers.relies_on_hub(self.table, self.gateway.now()) {
+        let now = self.gateway.now();
+        let max_backoff = match self.peers.relies_on_hub(now) {
             true => MAX_BACKOFF_BEHIND_HUB,
             false => MAX_BACKOFF,
         };
-        let pause = (MIN_BACKOFF * 2u32.pow(self.health.failures.min(6))).min(max_backoff);
+        let backoff = (MIN_BACKOFF * 2u32.pow(self.health.failures.min(6))).min(max_backoff);
         self.health.failures += 1;
-        if self.shared.is_prober(self.table) {
-            self.pause(pause.mul_f64(0.5 + self.gateway.random() / 2.0)).await;
-        } else {
-            let shared = self.shared.clone();
-            tokio::select! {
-                () = shared.recovered.notified() => {}
-                () = self.pause(PROBE_WAIT) => {}
-            }
-        }
+        let pause = match self.shared.is_prober(self.table) {
+            true => backoff.mul_f64(0.5 + self.gateway.random() / 2.0),
+            false => PROBE_WAIT,
+        };
+        self.schedule.pause(now + pause);
     }
 
     /// Handles a successful call; returns whether the calls before it had failed.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 
 use anyhow::{Context, Result, anyhow};
 use config::Name;
-use dispatch::{MonotonicTime, READER_TIMEOUT, ReaderElection};
+use dispatch::{MonotonicTime, READER_TIMEOUT};
 use members::{Envelope, Member, Membership, Role};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -48,8 +48,12 @@
 /// How many positions an instance that hears its hub stays behind one that does not, in
 /// the order of a table's readers: hubs tell it when the store answers any of them.
 const POSITIONS_BEHIND_HUB: usize = 50;
-/// Number of instances from which on even small domains share one reader.
-const LARGE_INSTALLATION: usize = 12;
+/// Number of instances of a domain from which on only the reader of a table polls the
+/// store. With fewer, the others hold long polls too: these cost few calls, and a change
+/// takes effect there even while the reader or a hub fails.
+const MIN_SHARED_DOMAIN: usize = 4;
+/// The same for the number of instances of the installation.
+const MIN_SHARED_INSTALLATION: usize = 12;
 /// Capacity of the queue of received updates of a table; further ones are dropped.
 const UPDATE_QUEUE_LEN: usize = 64;
 /// Maximum number of sessions in one datagram.
@@ -203,33 +207,30 @@
         }
     }
 
-    /// Returns the position of this instance in the order of a table's readers, and the
-    /// number of instances that it can reach, at least those of its domain.
-    pub(crate) fn reader_position(&self, table: &str, now: MonotonicTime) -> (usize, usize) {
+    /// Returns the position of this instance in the order of a table's readers.
+    pub(crate) fn reader_position(&self, table: &str, now: MonotonicTime) -> usize {
         let membership = self.membership.borrow();
-        let position = match membership.role(table, now) {
+        match membership.role(table, now) {
+            _ if membership.is_isolated(now) => 0,
             Role::Hub(position) => position,
             Role::Member(position) if membership.has_live_hub(now) => {
                 position + POSITIONS_BEHIND_HUB
             }
             Role::Member(position) => position,
-        };
-        let near = membership.domain_size(now);
-        let instances = match membership.instances(now) {
-            _ if membership.is_isolated(now) => 1,
-            all if all >= LARGE_INSTALLATION => all,
-            _ => near,
-        };
-        (position, instances)
+        }
+    }
+
+    /// Whether this instance holds a long poll while another one reads a table.
+    pub(crate) fn holds_poll(&self, now: MonotonicTime) -> bool {
+        let membership = self.membership.borrow();
+        membership.domain_size(now) < MIN_SHARED_DOMAIN
+            && membership.instances(now) < MIN_SHARED_INSTALLATION
     }
 
     /// Whether this instance can rely on the hub of its domain to reach the store.
-    pub(crate) fn relies_on_hub(&self, table: &str, now: MonotonicTime) -> bool {
-        let (_, instances) = self.reader_position(table, now);
+    pub(crate) fn relies_on_hub(&self, now: MonotonicTime) -> bool {
         let membership = self.membership.borrow();
-        ReaderElection::shares_reader(instances)
-            && !membership.is_hub(now)
-            && membership.has_live_hub(now)
+        !membership.is_hub(now) && membership.has_live_hub(now) && !self.holds_poll(now)
     }
 
     /// Returns a queue that receives the updates of other instances for a table from now
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -57,6 +57,9 @@
     /// Reads a whole table.
     fn read(&self, table: &str) -> impl Future<Output = Result<Page, StoreError>>;
 
+    /// Closes idle connections, which may be unresponsive; later calls open new ones.
+    fn reconnect(&self);
+
     /// Waits up to `wait` for changes of a table after revision `since`.
     fn feed(
         &self,
--- a/crates/gateway/tests/readers.rs
+++ b/crates/gateway/tests/readers.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use dispatch::{FeedMode, READER_TIMEOUT, ReaderElection};
+use dispatch::{FeedMode, PollSchedule, PollSituation, PollStep, READER_TIMEOUT, ReaderElection};
 use gateway::{KnownRevision, Row, TableUpdate, UpdateEffect, split_updates};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -19,15 +19,32 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Length of a schedule, in steps.
 const STEPS: u64 = 3_000;
-/// Maximum duration of a long poll by the reader.
-const FEED_WAIT: Duration = Duration::from_millis(700);
+/// How long an answer may be overdue before a poll is repeated.
+const ANSWER_PATIENCE: Duration = Duration::from_millis(800);
+/// Time after the end of a poll's duration at which it fails.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Interval at which a reader reports recent answers of the store.
 const ANSWERS_INTERVAL: Duration = Duration::from_millis(250);
+/// How long an instance reports that the store has recovered.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const BACKOFF: Duration = Duration::from_millis(600);
 /// Maximum time until a change takes effect at instances that reach the store and each
 /// other, as required by users.
 const BOUND: Duration = Duration::from_secs(2);
+/// Time after a silent outage from which on [`BOUND`] applies: users exempt the first three
+/// seconds altogether.
+const SILENCE_GRACE: Duration = Duration::from_secs(1);
+
+/// An open poll.
+#[derive(Clone, Copy)]
+struct Poll {
+    since: u64,
+    started: Duration,
+    wait: Duration,
+    /// Whether the store was silent when it was sent, so that it is never answered.
+    lost: bool,
+}
 
 #[derive(Default)]
 struct Instance {
@@ -36,15 +53,20 @@
     rows: BTreeMap<String, Row>,
     /// When the store last answered it.
     answered: Option<Duration>,
-    /// Revision from which its open call reads, and when the call began.
-    call: Option<(u64, Duration)>,
-    wait_until: Duration,
+    schedule: PollSchedule,
+    polls: Vec<Poll>,
+    /// Whether the store has not answered since a poll failed or was overdue.
+    store_lost: bool,
+    /// Until when its updates say that the store has recovered.
+    unsettled_until: Duration,
     /// Received updates, and whether their sender precedes this instance.
     inbox: Vec<(TableUpdate, bool)>,
     /// End of a pause, during which it neither runs nor receives.
     paused_until: Duration,
     /// End of a period in which the store rejects its calls.
     refused_until: Duration,
+    /// End of a period in which the store does not answer its calls.
+    silent_until: Duration,
     /// End of its last fault.
     healthy_since: Duration,
 }
@@ -60,6 +82,8 @@
     instances: Vec<Instance>,
     /// Probability that a datagram is lost.
     loss: f64,
+    /// Whether all instances hold polls, as in a small installation.
+    all_poll: bool,
 }
 
 impl Schedule {
@@ -74,6 +98,7 @@
             changed: Vec::new(),
             instances: (0..INSTANCES).map(|_| Instance::default()).collect(),
             loss,
+            all_poll: seed % 2 == 1,
         }
     }
 
@@ -91,18 +116,27 @@
         let now = self.now;
         let duration = Duration::from_millis(self.rng.random_range(100..6_000));
         let target = self.rng.random_range(0..INSTANCES);
-        match self.rng.random_range(0..4) {
+        match self.rng.random_range(0..6) {
             0 => self.instances[target].paused_until = now + duration,
             1 => self.instances[target] = Instance { healthy_since: now, ..Instance::default() },
             2 => self.instances[target].refused_until = now + duration,
-            _ => self
+            3 => self
                 .instances
                 .iter_mut()
                 .for_each(|instance| instance.refused_until = now + duration / 3),
+            4 => self.instances[target].silent_until = now + duration,
+            _ => self
+                .instances
+                .iter_mut()
+                .for_each(|instance| instance.silent_until = now + duration),
         }
         for instance in &mut self.instances {
             instance.healthy_since =
                 instance.healthy_since.max(instance.paused_until).max(instance.refused_until);
+            if instance.silent_until > now {
+                let healthy_since = instance.silent_until + SILENCE_GRACE;
+                instance.healthy_since = instance.healthy_since.max(healthy_since);
+            }
         }
     }
 
@@ -120,43 +154,36 @@
         if self.instances[index].paused_until > now {
             return;
         }
-        let mut behind = false;
         for (update, from_earlier) in std::mem::take(&mut self.instances[index].inbox) {
             let instance = &mut self.instances[index];
             let age = Duration::from_millis(update.age_ms);
             instance.election.record_peer_answer(now.saturating_sub(age), from_earlier);
+            if update.unsettled && instance.unsettled_until <= now {
+                instance.schedule.record_outage(now);
+                instance.unsettled_until = now + SETTLING_TIME;
+            }
+            let before = instance.known.revision;
             match instance.known.effect_of(&update) {
                 UpdateEffect::None => {}
                 UpdateEffect::Rows(rows) => instance.apply(&rows, update.known.revision),
-                UpdateEffect::Gap => behind = true,
+                UpdateEffect::Gap => instance.schedule.catch_up(now),
+            }
+            if instance.known.changed > before {
+                instance.schedule.expect_answer(ANSWER_PATIENCE, now);
             }
         }
-        if self.instances[index].wait_until > now && !behind {
-            return;
-        }
-        let instance = &mut self.instances[index];
-        let (since, started) = match instance.call {
-            Some(call) => call,
-            None => match instance.election.next_mode(index, INSTANCES, now) {
-                FeedMode::Listen(until) if !behind => {
-                    instance.wait_until = until.min(now + TICK);
-                    return;
-                }
-                FeedMode::Listen(_) | FeedMode::OwnFeed => {
-                    (instance.known.revision, now.saturating_sub(FEED_WAIT))
-                }
-                FeedMode::ReadForOthers => (instance.known.revision, now),
-            },
-        };
-        if instance.refused_until > now {
-            instance.election.record_own_answer(false);
-            (instance.call, instance.wait_until) = (None, now + BACKOFF);
-            return;
-        }
-        instance.call = Some((since, started));
-        let rows: Vec<Row> = self.rows.values().filter(|r| r.revision > since).cloned().collect();
-        if !rows.is_empty() || now >= started + FEED_WAIT {
-            self.answer(index, &rows);
+        self.instances[index].start_due_polls(index, self.all_poll, now);
+        for poll in self.instances[index].polls.clone() {
+            let Poll { since, started, wait, lost } = poll;
+            let rows: Vec<Row> =
+                self.rows.values().filter(|r| r.revision > since).cloned().collect();
+            if self.instances[index].refused_until > now
+                || lost && now >= started + wait + CALL_TIMEOUT
+            {
+                self.instances[index].fail(started, now);
+            } else if !lost && (!rows.is_empty() || now >= started + wait) {
+                return self.answer(index, &rows);
+            }
         }
     }
 
@@ -164,14 +191,24 @@
         let (now, revision) = (self.now, self.revision);
         let instance = &mut self.instances[index];
         let before = instance.known.changed;
-        instance.call = None;
+        instance.polls.clear();
+        instance.schedule.record_answer();
         instance.election.record_own_answer(true);
-        instance.answered = Some(now);
+        if std::mem::take(&mut instance.store_lost) {
+            instance.unsettled_until = now + SETTLING_TIME;
+        }
+        let reads = instance.election.next_mode(index, now) == FeedMode::ReadForOthers;
+        if reads {
+            instance.answered = Some(now);
+        }
         if revision > instance.known.revision {
             instance.apply(rows, revision);
             let known = instance.known;
-            for update in split_updates("t", rows, before, known, false) {
-                self.send(index, &update);
+            let unsettled = instance.unsettled_until > now;
+            if reads {
+                for update in split_updates("t", rows, before, known, unsettled) {
+                    self.send(index, &update);
+                }
             }
         }
     }
@@ -188,7 +225,7 @@
                 let known = instance.known;
                 let age_ms = age.as_millis() as u64;
                 let table = "t".to_owned();
-                let (unsettled, changes) = (false, None);
+                let (unsettled, changes) = (instance.unsettled_until > self.now, None);
                 self.send(index, &TableUpdate { table, known, age_ms, unsettled, changes });
             }
         }
@@ -221,6 +258,39 @@
 }
 
 impl Instance {
+    fn start_due_polls(&mut self, index: usize, holds_poll: bool, now: Duration) {
+        loop {
+            let mode = self.election.next_mode(index, now);
+            let situation = PollSituation { mode, holds_poll, patience: ANSWER_PATIENCE, now };
+            let wait = match self.schedule.next_step(situation) {
+                PollStep::Poll(wait) => wait,
+                PollStep::Repeat => {
+                    self.store_lost = true;
+                    self.election.record_own_answer(false);
+                    Duration::ZERO
+                }
+                PollStep::Replace(wait) => {
+                    self.polls.clear();
+                    wait
+                }
+                PollStep::Wait(_) => return,
+            };
+            let (since, lost) = (self.known.revision, self.silent_until > now);
+            self.polls.push(Poll { since, started: now, wait, lost });
+        }
+    }
+
+    /// Ends the first poll that began at `started`.
+    fn fail(&mut self, started: Duration, now: Duration) {
+        let failed = self.polls.iter().position(|poll| poll.started == started);
+        self.polls.remove(failed.expect("the poll is open"));
+        if self.schedule.record_failure() {
+            self.store_lost = true;
+            self.election.record_own_answer(false);
+            self.schedule.pause(now + BACKOFF);
+        }
+    }
+
     fn apply(&mut self, rows: &[Row], revision: u64) {
         self.known.advance(rows, revision);
         for row in rows {
