--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -305,7 +305,8 @@
         progress.possible_runs += 1;
         self.record_attempt(progress, &in_flight, reason);
         if reason == "broken" {
-            self.gateway.check_for_crash(self.fingerprint, &in_flight.server);
+            let parts = &self.request.prompt_parts;
+            self.gateway.check_for_crash(self.fingerprint, parts, &in_flight.server);
         }
         // A server that closes an idle connection has not failed.
         let outcome = if reason == "stale" { Outcome::Abandoned } else { Outcome::Failed };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,7 +8,9 @@
 
 use config::Name;
 use conn::Pool;
-use dispatch::{Catalog, Fleet, MonotonicTime, Pressure, RetryBudget, ServerInfo, Sessions};
+use dispatch::{
+    Catalog, Fleet, MonotonicTime, Pressure, PromptPart, RetryBudget, ServerInfo, Sessions,
+};
 use policy::Poison;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -169,26 +171,39 @@
 impl<D: 'static> Gateway<D> {
     /// Probes a server whose connection broke during a request and records a crash if it
     /// can't be reached.
-    pub(crate) fn check_for_crash(self: &Rc<Self>, fingerprint: u64, server: &Name) {
+    pub(crate) fn check_for_crash(
+        self: &Rc<Self>,
+        fingerprint: u64,
+        parts: &[PromptPart],
+        server: &Name,
+    ) {
         let addr = self.fleet.borrow().get(server).map(|server| server.info.addr);
         let Some(addr) = addr else { return };
-        let (gateway, server) = (self.clone(), server.clone());
+        let (gateway, server, parts) = (self.clone(), server.clone(), parts.to_vec());
         tokio::task::spawn_local(async move {
             tokio::time::sleep(CRASH_PROBE_DELAY).await;
             if gateway.pool.open(addr).await.is_err() {
-                gateway.record_crash(fingerprint, server);
+                gateway.record_crash(fingerprint, &parts, server);
             }
         });
     }
 
-    fn record_crash(&self, fingerprint: u64, server: Name) {
+    fn record_crash(&self, fingerprint: u64, parts: &[PromptPart], server: Name) {
         let mut crashes = self.crashes.borrow_mut();
         let crash = (fingerprint, server);
         if crashes.contains(&crash) {
             return;
         }
         let count = self.poison.borrow_mut().record_crash(fingerprint, self.now());
-        let fields = || json!({ "fingerprint": fingerprint, "server": &*crash.1, "deaths": count });
+        let fields = || {
+            let parts: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+            json!({
+                "fingerprint": fingerprint,
+                "server": &*crash.1,
+                "deaths": count,
+                "parts": parts,
+            })
+        };
         self.event_log.write("server_died", self.now(), fields);
         crashes.push_back(crash);
         if crashes.len() > MAX_REMEMBERED_CRASHES {
