--- a/crates/fakes/src/http_server.rs
+++ b/crates/fakes/src/http_server.rs
@@ -59,6 +59,20 @@
         self.state.lock().unwrap().listener_stop.cancel();
     }
 
+    /// Closes all connections and the listener; [`Connections::reopen`] undoes this for
+    /// later ones.
+    pub fn crash(&self) {
+        self.close_all();
+        self.stop_listening();
+    }
+
+    /// Permits another listener and new connections.
+    pub fn reopen(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.refusing = false;
+        state.listener_stop = CancellationToken::new();
+    }
+
     /// Waits until the listener and all connections are closed.
     pub async fn closed(&self) {
         self.tasks.close();
@@ -85,6 +99,17 @@
 ) -> Result<SocketAddr> {
     let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
     let addr = listener.local_addr()?;
+    accept_connections(listener, handler, connections, stop);
+    Ok(addr)
+}
+
+/// Serves the connections of a listener until `stop` is cancelled or the listener is closed.
+pub fn accept_connections<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    connections: Connections,
+    stop: CancellationToken,
+) {
     let listener_stop = connections.state.lock().unwrap().listener_stop.clone();
     let tasks = connections.tasks.clone();
     connections.tasks.clone().spawn(async move {
@@ -110,7 +135,6 @@
             });
         }
     });
-    Ok(addr)
 }
 
 async fn respond<H: Handler>(
--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -1,6 +1,7 @@
 //! A fake backend server of the users' platform, for plain requests and model streams.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -10,15 +11,24 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::http_server::{Connections, Handler, ResponseBody, full_body, read_body, serve};
+use crate::http_server::{
+    Connections, Handler, ResponseBody, accept_connections, full_body, read_body, serve,
+};
 
 /// The number of events in a complete stream.
 pub const STREAM_EVENTS: u64 = 5;
 /// The pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 
+/// How long a server runs a request before it crashes of it.
+const CRASH_DELAY: Duration = Duration::from_millis(20);
+/// How long a server is down after a crash.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(300);
+
 /// What a server does instead of answering a request normally.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SiteFault {
@@ -84,6 +94,10 @@
     queued_faults: Mutex<Vec<SiteFault>>,
     /// The fault for requests that no queued fault applies to.
     default_fault: Mutex<Option<SiteFault>>,
+    /// The id of a prompt part that makes the server crash.
+    deadly_part: Mutex<Option<String>>,
+    crash: Notify,
+    crashes: AtomicU64,
     request_log: SiteRequestLog,
 }
 
@@ -98,11 +112,15 @@
             id: Mutex::new(id.to_owned()),
             queued_faults: Mutex::default(),
             default_fault: Mutex::default(),
+            deadly_part: Mutex::default(),
+            crash: Notify::new(),
+            crashes: AtomicU64::new(0),
             request_log,
         });
         let connections = Connections::default();
         let stop = stop.child_token();
         let addr = serve(state.clone(), connections.clone(), stop.clone()).await?;
+        tokio::spawn(restart_after_crashes(addr, state.clone(), connections.clone(), stop.clone()));
         Ok(SiteServer { addr, state, connections, stop })
     }
 
@@ -121,6 +139,16 @@
         *self.state.default_fault.lock().unwrap() = fault;
     }
 
+    /// Makes the server crash for a moment of each request whose prompt has this part.
+    pub fn set_deadly_part(&self, part: &str) {
+        *self.state.deadly_part.lock().unwrap() = Some(part.to_owned());
+    }
+
+    /// How often the server has crashed.
+    pub fn crashes(&self) -> u64 {
+        self.state.crashes.load(Ordering::Relaxed)
+    }
+
     /// Changes the id, as if another server had taken over the address.
     pub fn set_id(&self, id: &str) {
         *self.state.id.lock().unwrap() = id.to_owned();
@@ -140,6 +168,26 @@
     }
 }
 
+/// Closes the server and serves again at the same address, each time that it crashes.
+async fn restart_after_crashes(
+    addr: SocketAddr,
+    state: Arc<State>,
+    connections: Connections,
+    stop: CancellationToken,
+) {
+    loop {
+        tokio::select! {
+            () = state.crash.notified() => {}
+            () = stop.cancelled() => return,
+        }
+        connections.crash();
+        tokio::time::sleep(CRASH_DOWNTIME).await;
+        let Ok(listener) = TcpListener::bind(addr).await else { return };
+        connections.reopen();
+        accept_connections(listener, state.clone(), connections.clone(), stop.clone());
+    }
+}
+
 impl Handler for State {
     async fn handle(&self, request: Request<Incoming>) -> Option<Response<ResponseBody>> {
         let header = |name: &str| {
@@ -167,10 +215,18 @@
             body,
             received_at: Instant::now(),
         };
+        let prompt = recorded.headers.get("x-prompt-prefix").and_then(|value| value.to_str().ok());
+        let is_deadly = self.is_deadly(prompt.unwrap_or_default());
         self.request_log.lock().unwrap().push(recorded);
         if misdirected {
             return Some(reply(421, &server, &id, false, full_body("")));
         }
+        if is_deadly {
+            tokio::time::sleep(CRASH_DELAY).await;
+            self.crashes.fetch_add(1, Ordering::Relaxed);
+            self.crash.notify_one();
+            return std::future::pending().await;
+        }
         match fault {
             Some(SiteFault::Reject) => {
                 let mut response = reply(503, &server, &id, false, full_body(""));
@@ -199,6 +255,13 @@
 }
 
 impl State {
+    /// Whether a prompt has the part that makes the server crash.
+    fn is_deadly(&self, prompt: &str) -> bool {
+        let deadly = self.deadly_part.lock().unwrap();
+        let ids = prompt.split(',').filter_map(|part| Some(part.split_once(':')?.0));
+        deadly.as_deref().is_some_and(|deadly| ids.into_iter().any(|id| id == deadly))
+    }
+
     /// Removes and returns the first queued fault, or returns the default fault.
     fn next_fault(&self) -> Option<SiteFault> {
         let mut faults = self.queued_faults.lock().unwrap();
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -23,6 +23,9 @@
 //!   `torn-after` and `silent-after`, which apply after event `N` (2 if not given); see
 //!   [`SiteFault`].
 //!
+//! - `poison PART` makes each server that was started crash for a moment of every request
+//!   whose prompt has the part; `crashes MOST` checks how often they have crashed.
+//!
 //! Instances of the program:
 //!
 //! - `node ID [grace=S] [domain=NAME] [seeds=ID,ID] [first] [relayed] [unread-log]` starts
@@ -52,7 +55,7 @@
 //! Requests:
 //!
 //! - `ask NODE PATH ID [key=K] [deadline=MS] [session=S] [last=N] [method=M] [host=H]
-//!   [body=B] [size=N] [header=NAME:VALUE]` sends a request and waits for the response.
+//!   [body=B] [size=N] [header=NAME:VALUE] [prompt=PARTS]` sends a request and waits for the response.
 //!   `start` takes the same arguments and does not wait; then `answer ID` waits, and
 //!   `abort ID` closes the connection.
 //! - `expect STATUS [whole|cut] [body=TEXT] [events=A-B] [retry] [within=MS]` checks the
@@ -193,6 +196,13 @@
                     Handle::current().block_on(server.shut_down());
                 });
             }
+            ["poison", part] => {
+                self.servers.values().for_each(|(server, _)| server.set_deadly_part(part));
+            }
+            ["crashes", most] => {
+                let crashes: u64 = self.servers.values().map(|(server, _)| server.crashes()).sum();
+                ensure!(crashes <= most.parse()?, "the servers have crashed {crashes} times");
+            }
             ["dark", id] => self.find_server(id)?.stop_responding(),
             ["fault", id, kind, ..] => {
                 self.find_server(id)?.queue_fault(parse_fault(kind, words.get(3))?)
@@ -527,7 +537,7 @@
             request = request
                 .header("x-model", "*")
                 .header("x-token-count", "100,10")
-                .header("x-prompt-prefix", "a:50,b:50");
+                .header("x-prompt-prefix", options.get("prompt").unwrap_or("a:50,b:50"));
         }
         for (option, name) in [("session", "session"), ("last", "last-event-id")] {
             if let Some(value) = options.get(option) {
