Parts of prompts that crash servers are kept from them

Cause: crashes are remembered by the whole request: path, account and body. Requests that share one part of their prompts and nothing else are each new, and each is sent to three servers.

Class: a fault judged by one request's name, while servers saw a pattern.

Evidence: server_died with the parts of prompts: 37 servers ended under 10 requests; the highest count of one fingerprint was four; one part, third of four, stands in all 10, and none of them began to be answered.

Ruled out: crashes that are not recognised (one line for each server that ended); counts that arrive too late.

Change: dispatch::Blame keeps the crashes of requests that had not begun to be answered, with the shared parts of their prompts, and the parts that were answered. The part that explains most crashes is blocked, the deeper one of two; crashes that one request may explain as a whole do not suffice. Instances report to each other at once. A suspect prompt goes to one server only; a blocked part is tried again by one hub after 3 s, then ten times later each time. An unsure answer to a new prompt is dropped only after its first event: a run that was dropped before it crashed the server unseen.

Failed try: blocking at once with the fourth crash. Crashes now count after 300 ms, and the ones under a single request not alone (record_crash_bystander_of_one_request_is_not_blamed).

Tests: the two scenarios poison_part_* failed before (15 and 6 crashes, bound 5) and pass; 17 tests of Blame.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,11 +10,14 @@
 //!   prompts that share parts);
 //! - [`Cascade`]: which model answers first, and when a larger one is asked instead;
 //! - [`RetryBudget`]: whether a request may be sent again;
+//! - [`Blame`]: which parts of prompts are kept from the servers (requests that crash
+//!   each server which answers them);
 //! - [`Rollout`]: which version of a service gets a request;
 //! - [`ReaderElection`]: which instance reads the store for the others;
 //! - [`PollSchedule`]: when an instance polls the store, and again if an answer is lost.
 
 mod admission;
+mod blame;
 mod budget;
 mod cascade;
 mod catalog;
@@ -26,6 +29,7 @@
 mod sessions;
 
 pub use admission::{Admission, AdmissionDecision};
+pub use blame::{Blame, BlameChange, BlameReport, CrashedRequest, MergeOutcome, Verdict};
 pub use budget::RetryBudget;
 pub use cascade::{Cascade, EscalationContext, Pressure};
 pub use catalog::{
--- /dev/null
+++ b/crates/gateway/src/blame.rs
@@ -0,0 +1,129 @@
+//! Keeps requests from the servers whose prompts crash them, together with the other
+//! instances.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use dispatch::{BlameChange, BlameReport, PromptPart, Verdict};
+use policy::hash_parts;
+use serde_json::json;
+
+use crate::gateway::Gateway;
+use crate::peers::{Message, Peers};
+
+/// Pause between two reports, so that the crashes of one moment are reported together.
+const REPORT_PAUSE: Duration = Duration::from_millis(30);
+/// Interval at which recent crashes and answers are reported again, since datagrams can be
+/// lost.
+const RECENT_REFRESH: Duration = Duration::from_secs(1);
+/// Interval at which blocked parts are reported again.
+const SETTLED_REFRESH: Duration = Duration::from_secs(10);
+/// Delay between the turns of two hubs to send a request with a blocked part.
+const TRY_STAGGER: Duration = Duration::from_secs(1);
+
+impl<D> Gateway<D> {
+    /// Records that a server crashed before it began to answer a request.
+    pub(crate) fn blame_prompt(&self, server: &str, request: u64, prompt: &[PromptPart]) {
+        let server = hash_parts(&[server.as_bytes()]);
+        let changes = self.blame.borrow_mut().record_crash(server, request, prompt, self.now());
+        self.log_blame(&changes);
+        self.blame_changed.notify_one();
+    }
+
+    /// Records that a request began to be answered.
+    pub(crate) fn clear_prompt(&self, prompt: &[PromptPart]) {
+        let changes = self.blame.borrow_mut().record_answer(prompt, self.now());
+        if !changes.is_empty() {
+            self.log_blame(&changes);
+            self.blame_changed.notify_one();
+        }
+    }
+
+    /// Whether a request may be sent, as far as its prompt is concerned. One with a blocked
+    /// part may be sent occasionally by a hub, to find out whether it still crashes
+    /// servers.
+    pub(crate) fn judge_prompt(&self, prompt: &[PromptPart]) -> Verdict {
+        let changes = self.blame.borrow_mut().settle(self.now());
+        if !changes.is_empty() {
+            self.log_blame(&changes);
+            self.blame_changed.notify_one();
+        }
+        let mut blame = self.blame.borrow_mut();
+        let verdict = blame.verdict(prompt);
+        let Some(position) = self.hub_position.get().filter(|_| verdict == Verdict::Blocked) else {
+            return verdict;
+        };
+        let stagger = TRY_STAGGER * position as u32;
+        if !blame.try_blocked(prompt, stagger, self.now()) {
+            return Verdict::Blocked;
+        }
+        self.event_log.write("part_tried", self.now(), || json!({ "parts": part_ids(prompt) }));
+        self.blame_changed.notify_one();
+        Verdict::Suspect
+    }
+
+    fn log_blame(&self, changes: &[BlameChange]) {
+        let now = self.now();
+        for change in changes {
+            match *change {
+                BlameChange::Blocked { part, crashes, requests } => {
+                    let fields = json!({
+                        "part": part_id(part),
+                        "crashes": crashes,
+                        "requests": requests,
+                    });
+                    self.event_log.write("part_blocked", now, || fields);
+                }
+                BlameChange::Reported(part) => {
+                    let fields = json!({ "part": part_id(part), "reported": true });
+                    self.event_log.write("part_blocked", now, || fields);
+                }
+                BlameChange::Unblocked(part) => {
+                    let fields = json!({ "part": part_id(part) });
+                    self.event_log.write("part_unblocked", now, || fields);
+                }
+            }
+        }
+        self.metrics.blocked_parts.set(self.blame.borrow().blocked_parts() as i64);
+    }
+}
+
+/// Formats the ids of the parts of a prompt for the log.
+pub(crate) fn part_ids(prompt: &[PromptPart]) -> Vec<String> {
+    prompt.iter().map(|part| part_id(part.id)).collect()
+}
+
+fn part_id(id: u64) -> String {
+    format!("{id:x}")
+}
+
+impl Peers {
+    /// Reports crashes and answers as they become known: an instance to its hub, a hub to
+    /// its domain and the other hubs.
+    pub(crate) async fn send_blame<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
+        loop {
+            let now = gateway.now();
+            let report = gateway.blame.borrow().report(now);
+            let refresh = if report.is_settled() { SETTLED_REFRESH } else { RECENT_REFRESH };
+            if !report.is_empty() {
+                let receivers = self.blame_receivers(now);
+                self.send(&Message::Blame(report), &receivers).await;
+            }
+            tokio::time::sleep(REPORT_PAUSE).await;
+            tokio::select! {
+                () = gateway.blame_changed.notified() => {}
+                () = tokio::time::sleep(refresh) => {}
+            }
+        }
+    }
+
+    /// Merges what another instance reports. A hub passes news on.
+    pub(crate) fn apply_blame<D>(&self, gateway: &Gateway<D>, report: BlameReport) {
+        let now = gateway.now();
+        let outcome = gateway.blame.borrow_mut().merge(report, now);
+        gateway.log_blame(&outcome.changes);
+        if outcome.rebuttal || outcome.news && self.is_hub(now) {
+            gateway.blame_changed.notify_one();
+        }
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use config::Name;
 use dispatch::{
     Admission, AdmissionDecision, Cascade, Outcome, PlacementError, PlacementRequest,
-    PromptPartKey, RetryMode, Side, place,
+    PromptPartKey, RetryMode, Side, Verdict, place,
 };
 use error::{Kind, Refusal};
 use http::{Request, Response};
@@ -208,7 +208,7 @@
     pub fn choose_target(&self, progress: &Progress) -> Result<Target, Refusal> {
         let gateway = &self.gateway;
         let now = gateway.now();
-        if gateway.poison.borrow().is_blocked(self.fingerprint) {
+        if gateway.poison.borrow().is_blocked(self.fingerprint) || !self.may_send_prompt(progress) {
             return Err(self.refusal(Kind::CrashesServers, None));
         }
         if progress.sends >= self.route.max_attempts + MAX_EXTRA_REJECTIONS {
@@ -267,6 +267,22 @@
         Ok(Target { server: info.id, version: info.version, addr: info.addr, prefill_tokens })
     }
 
+    /// Whether the prompt may go to another server. One that may crash servers goes to one
+    /// only.
+    fn may_send_prompt(&self, progress: &Progress) -> bool {
+        match self.gateway.judge_prompt(&self.request.prompt_parts) {
+            Verdict::Clear => true,
+            Verdict::Suspect => progress.possible_runs == 0 || progress.resume_after.is_some(),
+            Verdict::Blocked => false,
+        }
+    }
+
+    /// Records that the answer has begun.
+    pub fn record_begun(&self) {
+        self.gateway.poison.borrow_mut().record_answer(self.fingerprint);
+        self.gateway.clear_prompt(&self.request.prompt_parts);
+    }
+
     fn model<'a>(&'a self, progress: &Progress) -> &'a str {
         let chosen = self.route.models.get(progress.model_index);
         chosen.or(self.request.model.as_ref()).map_or("", |model| &**model)
@@ -343,7 +359,7 @@
                 return Err(self.refusal(Kind::BackendFailed, None));
             }
         };
-        self.gateway.poison.borrow_mut().record_answer(self.fingerprint);
+        self.record_begun();
         let failed = status.is_server_error();
         self.record_attempt(progress, &in_flight, if failed { "failed" } else { "answered" });
         let outcome = if failed { Outcome::Failed } else { Outcome::Success };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use config::Name;
 use conn::Pool;
 use dispatch::{
-    Catalog, Fleet, MonotonicTime, Pressure, PromptPart, RetryBudget, ServerInfo, Sessions,
+    Blame, Catalog, Fleet, MonotonicTime, Pressure, PromptPart, RetryBudget, ServerInfo, Sessions,
 };
 use policy::Poison;
 use rand::{RngExt, SeedableRng};
@@ -18,6 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::blame::part_ids;
 use crate::event_log::{EventLog, log_event};
 use crate::freshness::Freshness;
 use crate::metrics::Metrics;
@@ -112,6 +113,9 @@
                 settings.retry_window,
             )),
             poison: RefCell::new(Poison::new(CRASHES_TO_BLOCK)),
+            blame: RefCell::default(),
+            blame_changed: Notify::new(),
+            hub_position: Cell::new(None),
             pressures: RefCell::default(),
             crashes: RefCell::default(),
             freshness: RefCell::default(),
@@ -152,6 +156,12 @@
     pub(crate) sessions: RefCell<Sessions>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) poison: RefCell<Poison>,
+    /// Parts of prompts that crash servers.
+    pub(crate) blame: RefCell<Blame>,
+    /// Notified when other instances need to know what is in `blame`.
+    pub(crate) blame_changed: Notify,
+    /// Position of this instance among the hubs if it is one.
+    pub(crate) hub_position: Cell<Option<usize>>,
     pub(crate) pressures: RefCell<HashMap<Name, Pressure>>,
     /// Recent crashes: the fingerprint of the request and the server that crashed.
     pub(crate) crashes: RefCell<VecDeque<(u64, Name)>>,
@@ -196,15 +206,15 @@
         }
         let count = self.poison.borrow_mut().record_crash(fingerprint, self.now());
         let fields = || {
-            let parts: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
             json!({
                 "fingerprint": fingerprint,
                 "server": &*crash.1,
                 "deaths": count,
-                "parts": parts,
+                "parts": part_ids(parts),
             })
         };
         self.event_log.write("server_died", self.now(), fields);
+        self.blame_prompt(&crash.1, fingerprint, parts);
         crashes.push_back(crash);
         if crashes.len() > MAX_REMEMBERED_CRASHES {
             crashes.pop_front();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! wire format and the types of this crate.
 
 mod arrival;
+mod blame;
 mod body;
 mod digest;
 mod event_log;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     pub table_updates: Family<Reason, Counter>,
     /// Time since a table was last confirmed to hold what the store holds.
     pub table_age: Family<TableLabel, Gauge<f64, AtomicU64>>,
+    /// Parts of prompts that are kept from the servers because they crash them.
+    pub blocked_parts: Gauge,
     /// Log lines dropped by the rate limit.
     pub dropped_lines: Counter,
 }
@@ -82,6 +84,7 @@
             store_calls: Family::default(),
             table_updates: Family::default(),
             table_age: Family::default(),
+            blocked_parts: Gauge::default(),
             dropped_lines: Counter::default(),
         };
         metrics.register();
@@ -124,6 +127,8 @@
             Unit::Seconds,
             self.table_age.clone(),
         );
+        let blocked = self.blocked_parts.clone();
+        registry.register("blocked_parts", "Parts of prompts that crash servers", blocked);
         let dropped = self.dropped_lines.clone();
         registry.register("lines_left_out", "Log lines left out to bound their number", dropped);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 
 use anyhow::{Context, Result, anyhow};
 use config::Name;
-use dispatch::{MonotonicTime, READER_TIMEOUT};
+use dispatch::{BlameReport, MonotonicTime, READER_TIMEOUT};
 use members::{Envelope, Member, Membership, Role};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -142,7 +142,7 @@
 
 /// A message between instances.
 #[derive(Debug, Serialize, Deserialize)]
-enum Message {
+pub(crate) enum Message {
     /// Who is there.
     Membership(members::Message),
     /// State that concerns all instances.
@@ -151,6 +151,8 @@
     Loads(Loads),
     /// State of a table.
     Update(TableUpdate),
+    /// Crashes of servers and the parts of prompts that may be to blame.
+    Blame(BlameReport),
 }
 
 impl Peers {
@@ -198,6 +200,25 @@
         self.membership.borrow().role(task, now)
     }
 
+    /// Returns the position of this instance among the hubs if it is one.
+    fn hub_position(&self, now: MonotonicTime) -> Option<usize> {
+        match self.role("blame", now) {
+            Role::Hub(position) => Some(position),
+            Role::Member(_) => None,
+        }
+    }
+
+    /// Returns the instances that reports on crashes go to.
+    pub(crate) fn blame_receivers(&self, now: MonotonicTime) -> Vec<SocketAddr> {
+        let membership = self.membership.borrow();
+        if !membership.is_hub(now) {
+            return membership.uplinks(now);
+        }
+        let mut receivers = membership.neighbours(now);
+        receivers.extend(membership.foreign_hubs(now));
+        receivers
+    }
+
     /// Returns how many instances and domains the counts of a rollout must include.
     pub(crate) fn coverage(&self, now: MonotonicTime) -> Coverage {
         let membership = self.membership.borrow();
@@ -315,6 +336,7 @@
         tokio::task::spawn_local(self.clone().run_membership(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_loads(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_answers(gateway.clone()));
+        tokio::task::spawn_local(self.clone().send_blame(gateway.clone()));
         tokio::task::spawn_local(self.send_digests(gateway));
         Ok(())
     }
@@ -336,6 +358,7 @@
             let now = gateway.now();
             let due = self.membership.borrow_mut().tick(now);
             gateway.set_members(self.membership.borrow().instances(now));
+            gateway.hub_position.set(self.hub_position(now));
             self.send_envelopes(due).await;
             tokio::time::sleep(MEMBERSHIP_INTERVAL).await;
         }
@@ -449,11 +472,16 @@
             Message::Membership(message) => {
                 if matches!(message, members::Message::Hello(_)) {
                     self.newcomer.set(true);
+                    let report = gateway.blame.borrow().report(now);
+                    if !report.is_empty() {
+                        self.send(&Message::Blame(report), &[from]).await;
+                    }
                 }
                 let answers = self.membership.borrow_mut().handle(message, now);
                 self.send_envelopes(answers).await;
             }
             Message::Loads(loads) => gateway.apply_loads(loads),
+            Message::Blame(report) => self.apply_blame(gateway, report),
             Message::Digest(digest) => {
                 if self.is_hub(now) {
                     self.domain_sessions.borrow_mut().add(&digest.sessions);
@@ -486,7 +514,7 @@
 
     /// Sends a message to instances. Failed sends are not retried; the next message
     /// makes up for them.
-    async fn send(&self, message: &Message, addrs: &[SocketAddr]) {
+    pub(crate) async fn send(&self, message: &Message, addrs: &[SocketAddr]) {
         let Some(socket) = self.socket.get() else { return };
         let bytes = match pack_datagram(message) {
             Ok(bytes) => bytes,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -92,12 +92,12 @@
     ) -> Result<Option<Response<ResponseBody>>, Refusal> {
         let PendingResponse { response, info, status, first_byte } = *pending;
         self.gateway.record_first_byte(&self.service, first_byte, self.route.target_latency);
-        if let Some(model) = self.larger_model(progress, info.confidence) {
-            self.record_attempt(progress, &in_flight, "unsure");
-            in_flight.end(Outcome::Success, Some(first_byte));
-            Metrics::count(&self.gateway.metrics.retries, "unsure");
-            progress.model_index = model;
-            progress.tried.clone_from(&progress.unreachable);
+        let larger_model = self.larger_model(progress, info.confidence);
+        // Whether a server survives a prompt that is new shows in its first event.
+        if let Some(model) = larger_model
+            && self.gateway.blame.borrow().is_proven(&self.request.prompt_parts)
+        {
+            self.escalate(progress, in_flight, first_byte, model);
             return Ok(None);
         }
         let headers = response.head.headers.clone();
@@ -115,7 +115,11 @@
                 return Err(Refusal::new(error::Kind::BackendFailed, &self.proof));
             }
         };
-        self.gateway.poison.borrow_mut().record_answer(self.fingerprint);
+        self.record_begun();
+        if let Some(model) = larger_model {
+            self.escalate(progress, stream.in_flight, first_byte, model);
+            return Ok(None);
+        }
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
         let mut response = Response::new(ResponseBody::Stream(receiver));
         *response.status_mut() = status;
@@ -126,6 +130,21 @@
         Ok(Some(response))
     }
 
+    /// Drops an answer to ask a larger model instead.
+    fn escalate(
+        &self,
+        progress: &mut Progress,
+        in_flight: InFlight<D>,
+        first_byte: Duration,
+        model: usize,
+    ) {
+        self.record_attempt(progress, &in_flight, "unsure");
+        in_flight.end(Outcome::Success, Some(first_byte));
+        Metrics::count(&self.gateway.metrics.retries, "unsure");
+        progress.model_index = model;
+        progress.tried.clone_from(&progress.unreachable);
+    }
+
     /// Starts reading the events of a response.
     fn read_events(
         &self,
