--- a/crates/dispatch/src/blame.rs
+++ b/crates/dispatch/src/blame.rs
@@ -18,7 +18,7 @@
 use crate::{MonotonicTime, PromptPart};
 
 /// Crashes of one server that are reported within this time are the same crash.
-const SAME_CRASH: Duration = Duration::from_secs(2);
+const SAME_CRASH: Duration = Duration::from_secs(1);
 /// How long after a crash no part is blocked for it: other instances may report requests
 /// that were running, too.
 const SETTLING_TIME: Duration = Duration::from_millis(300);
@@ -191,6 +191,11 @@
         self.conclude(now)
     }
 
+    /// Returns when [`Self::settle`] is next due, if a crash has not settled yet.
+    pub fn settled_at(&self) -> Option<MonotonicTime> {
+        self.settled_at
+    }
+
     /// Blocks parts for crashes that have settled by now.
     pub fn settle(&mut self, now: MonotonicTime) -> Vec<BlameChange> {
         match self.settled_at {
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -43,11 +43,7 @@
     /// part may be sent occasionally by a hub, to find out whether it still crashes
     /// servers.
     pub(crate) fn judge_prompt(&self, prompt: &[PromptPart]) -> Verdict {
-        let changes = self.blame.borrow_mut().settle(self.now());
-        if !changes.is_empty() {
-            self.log_blame(&changes);
-            self.blame_changed.notify_one();
-        }
+        self.settle_blame();
         let mut blame = self.blame.borrow_mut();
         let verdict = blame.verdict(prompt);
         let Some(position) = self.hub_position.get().filter(|_| verdict == Verdict::Blocked) else {
@@ -62,6 +58,15 @@
         Verdict::Suspect
     }
 
+    /// Blocks parts for crashes that have settled by now.
+    fn settle_blame(&self) {
+        let changes = self.blame.borrow_mut().settle(self.now());
+        if !changes.is_empty() {
+            self.log_blame(&changes);
+            self.blame_changed.notify_one();
+        }
+    }
+
     fn log_blame(&self, changes: &[BlameChange]) {
         let now = self.now();
         for change in changes {
@@ -102,17 +107,22 @@
     /// its domain and the other hubs.
     pub(crate) async fn send_blame<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
         loop {
+            gateway.settle_blame();
             let now = gateway.now();
-            let report = gateway.blame.borrow().report(now);
+            let (report, settled_at) = {
+                let blame = gateway.blame.borrow();
+                (blame.report(now), blame.settled_at())
+            };
             let refresh = if report.is_settled() { SETTLED_REFRESH } else { RECENT_REFRESH };
             if !report.is_empty() {
                 let receivers = self.blame_receivers(now);
                 self.send(&Message::Blame(report), &receivers).await;
             }
             tokio::time::sleep(REPORT_PAUSE).await;
+            let wake_at = settled_at.unwrap_or(now + refresh).min(now + refresh);
             tokio::select! {
                 () = gateway.blame_changed.notified() => {}
-                () = tokio::time::sleep(refresh) => {}
+                () = tokio::time::sleep_until(gateway.instant(wake_at)) => {}
             }
         }
     }
