--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -24,6 +24,8 @@
 /// The pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 
+/// How much longer a slow server takes between two events.
+const SLOW_FACTOR: u32 = 8;
 /// How long a server runs a request before it crashes of it.
 const CRASH_DELAY: Duration = Duration::from_millis(20);
 /// How long a server is down after a crash.
@@ -55,6 +57,8 @@
     StallAfter(u64),
     /// Answers with a low value of `x-confidence`.
     LowConfidence,
+    /// Takes [`SLOW_FACTOR`] times as long between the events of a stream.
+    Slow,
 }
 
 /// A request that reached a server.
@@ -324,8 +328,10 @@
         _ => {}
     }
     let stalls = matches!(fault, Some(SiteFault::StallAfter(_)));
-    let paced = stream::iter(frames).then(|frame| async {
-        tokio::time::sleep(EVENT_PAUSE).await;
+    let slow = fault == Some(SiteFault::Slow);
+    let pause = if slow { EVENT_PAUSE * SLOW_FACTOR } else { EVENT_PAUSE };
+    let paced = stream::iter(frames).enumerate().then(move |(index, frame)| async move {
+        tokio::time::sleep(if index == 0 { EVENT_PAUSE } else { pause }).await;
         frame
     });
     let body = if stalls {
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -19,7 +19,7 @@
 //!   its connections open without answering.
 //! - `fault ID KIND [N]` queues a fault for the next request, `always ID KIND [N]` sets one
 //!   for all requests, `always ID none` removes it. `KIND` is one of `reject`, `reset`,
-//!   `other-id`, `cut`, `fail`, `hang`, `unsealed`, `unsure`, and for streams `cut-after`,
+//!   `other-id`, `cut`, `fail`, `hang`, `unsealed`, `unsure`, `slow`, and for streams `cut-after`,
 //!   `torn-after` and `silent-after`, which apply after event `N` (2 if not given); see
 //!   [`SiteFault`].
 //!
@@ -649,6 +649,7 @@
         "torn-after" => SiteFault::CutWithinEventAfter(count),
         "silent-after" => SiteFault::StallAfter(count),
         "unsure" => SiteFault::LowConfidence,
+        "slow" => SiteFault::Slow,
         _ => bail!("unknown fault: {kind:?}"),
     })
 }
