A version that is slow after its first events is rolled back

Cause: a version's pace was judged by the mean time to the first byte of all answers that ended. This version begins its answers in time; the mean was 2.2 times the old one's, mostly from load after the shift, and the limit 2.5. Streams whose callers left counted nowhere. Unsure answers that were dropped after their first byte counted as sound ones, about a third of all.

Class: a verdict from a proxy (first byte, survivors, all kinds together).

Ruled out: failures (4 of 171); a late order (2.5 s before the canary); a state that was told late (decided at 17.28 s by all hubs within 0.03 s).

Change: the pauses between events, the time to the first event and, for answers with neither, the time to the end are each compared with like answers of the old version: same route, same model, within the last 4 s. A stream is judged after eight pauses. Six answers at 1.8 times the old version's pace roll back. Why it works: kinds no longer hide each other, load slows both sides, and an answer speaks before it ends.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`Blame`]: which parts of prompts are kept from the servers (requests that crash
 //!   each server which answers them);
 //! - [`Rollout`]: which version of a service gets a request;
+//! - [`PaceReference`]: whether an answer of a new version is slow (versions that begin
+//!   their answers in time and then are several times slower);
 //! - [`ReaderElection`]: which instance reads the store for the others;
 //! - [`PollSchedule`]: when an instance polls the store, and again if an answer is lost.
 
@@ -22,6 +24,7 @@
 mod cascade;
 mod catalog;
 mod fleet;
+mod pace;
 mod place;
 mod poll_schedule;
 mod reader_election;
@@ -38,6 +41,7 @@
     Account, Catalog, Engine, EngineModel, Limits, RetryMode, Route, RouteTable, Service, Target,
 };
 pub use fleet::{Fleet, LoadReport, Outcome, PromptPartKey, Server, ServerInfo, ServerLoad};
+pub use pace::{AnswerTimes, PaceClass, PaceReference, StreamPace};
 pub use place::{Placement, PlacementError, PlacementRequest, PromptPart, place};
 pub use poll_schedule::{PollSchedule, PollSituation, PollStep, READER_POLL_WAIT};
 pub use reader_election::{FeedMode, READER_TIMEOUT, ReaderElection};
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -31,10 +31,10 @@
 const FAILURE_RATIO_LIMIT: f64 = 3.0;
 /// Margin by which the failure rate must exceed that multiple.
 const FAILURE_RATE_MARGIN: f64 = 0.1;
-/// Minimum number of timed answers of each version for a decision based on latency.
-const MIN_TIMED_ANSWERS: u32 = 8;
-/// The mean latency of the new version must exceed this multiple of the old one's.
-const LATENCY_RATIO_LIMIT: f64 = 2.5;
+/// Minimum number of timed answers of each version for a decision based on their pace.
+const MIN_TIMED_ANSWERS: u32 = 6;
+/// Answers of the new version must take this multiple of the old one's time, on average.
+const PACE_RATIO_LIMIT: f64 = 1.8;
 
 /// An operator's rollout order.
 #[derive(Debug, Clone, PartialEq)]
@@ -106,10 +106,10 @@
     pub answers: u32,
     /// Number of failed answers.
     pub bad: u32,
-    /// Number of answers with a measured time to first byte.
+    /// Number of answers whose pace was compared.
     pub timed: u32,
-    /// Sum of the times to first byte, in ms.
-    pub time_ms: f64,
+    /// Sum of how many times as long as like answers of the old version they took.
+    pub pace_sum: f64,
 }
 
 impl Sample {
@@ -117,15 +117,15 @@
         self.answers += other.answers;
         self.bad += other.bad;
         self.timed += other.timed;
-        self.time_ms += other.time_ms;
+        self.pace_sum += other.pace_sum;
     }
 
     fn failure_rate(&self) -> f64 {
         f64::from(self.bad) / f64::from(self.answers.max(1))
     }
 
-    fn mean_ms(&self) -> f64 {
-        self.time_ms / f64::from(self.timed.max(1))
+    fn mean_pace(&self) -> f64 {
+        self.pace_sum / f64::from(self.timed.max(1))
     }
 }
 
@@ -138,16 +138,23 @@
     }
 
     /// Records an answer.
-    pub fn record_answer(&mut self, side: Side, bad: bool, first_byte: Option<Duration>) {
-        let sample = match side {
-            Side::Old => &mut self.old,
-            Side::New => &mut self.new,
-        };
+    pub fn record_answer(&mut self, side: Side, bad: bool) {
+        let sample = self.sample_mut(side);
         sample.answers += 1;
         sample.bad += u32::from(bad);
-        if let Some(time) = first_byte {
-            sample.timed += 1;
-            sample.time_ms += time.as_secs_f64() * 1e3;
+    }
+
+    /// Records how many times as long as like answers of the old version an answer takes.
+    pub fn record_pace(&mut self, side: Side, ratio: f64) {
+        let sample = self.sample_mut(side);
+        sample.timed += 1;
+        sample.pace_sum += ratio;
+    }
+
+    fn sample_mut(&mut self, side: Side) -> &mut Sample {
+        match side {
+            Side::Old => &mut self.old,
+            Side::New => &mut self.new,
         }
     }
 
@@ -156,7 +163,7 @@
         let max_rate = FAILURE_RATIO_LIMIT * self.old.failure_rate() + FAILURE_RATE_MARGIN;
         let fails = self.new.bad >= MIN_FAILURES && self.new.failure_rate() > max_rate;
         let timed = self.new.timed >= MIN_TIMED_ANSWERS && self.old.timed >= MIN_TIMED_ANSWERS;
-        fails || (timed && self.new.mean_ms() > LATENCY_RATIO_LIMIT * self.old.mean_ms())
+        fails || (timed && self.new.mean_pace() > PACE_RATIO_LIMIT * self.old.mean_pace())
     }
 }
 
--- a/crates/dispatch/tests/rollouts.rs
+++ b/crates/dispatch/tests/rollouts.rs
@@ -22,7 +22,8 @@
     let mut stats = RolloutStats::default();
     for (side, (answers, bad)) in [(Side::Old, old), (Side::New, new)] {
         for number in 0..answers {
-            stats.record_answer(side, number < bad, Some(at(100)));
+            stats.record_answer(side, number < bad);
+            stats.record_pace(side, 1.0);
         }
     }
     stats
@@ -103,12 +104,30 @@
 fn decide_slow_answers_roll_back() {
     let mut stats = RolloutStats::default();
     for _ in 0..20 {
-        stats.record_answer(Side::Old, false, Some(at(100)));
-        stats.record_answer(Side::New, false, Some(at(400)));
+        stats.record_pace(Side::Old, 1.0);
+        stats.record_pace(Side::New, 4.0);
     }
     assert_eq!(rollout().decide(&stats, at(4_000)), Decision::RollBack);
 }
 
+#[test]
+fn decide_few_slow_answers_roll_back_in_the_canary() {
+    let mut stats = stats((200, 2), (0, 0));
+    for _ in 0..6 {
+        stats.record_pace(Side::New, 2.4);
+    }
+    assert_eq!(rollout().decide(&stats, at(4_000)), Decision::RollBack);
+}
+
+#[test]
+fn decide_single_slow_answers_wait() {
+    let mut stats = stats((200, 2), (20, 0));
+    for _ in 0..4 {
+        stats.record_pace(Side::New, 4.0);
+    }
+    assert_eq!(rollout().decide(&stats, at(4_000)), Decision::Wait);
+}
+
 #[test]
 fn decide_completes_when_old_version_is_idle() {
     let mut stats = stats((200, 2), (50, 0));
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -82,7 +82,8 @@
     answers: u32,
     bad: u32,
     timed: u32,
-    time_ms: u64,
+    /// Sum of the ratios in thousandths.
+    pace_sum: u64,
 }
 
 impl Digest {
@@ -243,12 +244,12 @@
 
 impl EncodedSample {
     fn new(sample: &Sample) -> Self {
-        let Sample { answers, bad, timed, time_ms } = *sample;
-        EncodedSample { answers, bad, timed, time_ms: time_ms as u64 }
+        let Sample { answers, bad, timed, pace_sum } = *sample;
+        EncodedSample { answers, bad, timed, pace_sum: (pace_sum * 1e3) as u64 }
     }
 
     fn sample(&self) -> Sample {
-        let EncodedSample { answers, bad, timed, time_ms } = *self;
-        Sample { answers, bad, timed, time_ms: time_ms as f64 }
+        let EncodedSample { answers, bad, timed, pace_sum } = *self;
+        Sample { answers, bad, timed, pace_sum: pace_sum as f64 / 1e3 }
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -5,8 +5,8 @@
 
 use config::Name;
 use dispatch::{
-    Admission, AdmissionDecision, Cascade, Outcome, PlacementError, PlacementRequest,
-    PromptPartKey, RetryMode, Side, Verdict, place,
+    Admission, AdmissionDecision, AnswerTimes, Cascade, Outcome, PaceClass, PlacementError,
+    PlacementRequest, PromptPartKey, RetryMode, Side, Verdict, place,
 };
 use error::{Kind, Refusal};
 use http::{Request, Response};
@@ -288,6 +288,11 @@
         chosen.or(self.request.model.as_ref()).map_or("", |model| &**model)
     }
 
+    /// The answers that those of this request are compared with.
+    pub fn pace_class(&self, progress: &Progress) -> PaceClass {
+        PaceClass { route: self.route.name.clone(), model: self.model(progress).into() }
+    }
+
     fn refusal(&self, kind: Kind, after: Option<Duration>) -> Refusal {
         Refusal::new(kind, &self.proof).retry_after(after.map(|after| after.as_millis() as u64))
     }
@@ -308,7 +313,7 @@
             progress.sends -= 1;
             progress.unreachable.push(in_flight.server.clone());
         }
-        in_flight.end(outcome, None);
+        in_flight.end(outcome);
     }
 
     /// Records a send that may have run but yielded no usable response.
@@ -326,7 +331,7 @@
         }
         // A server that closes an idle connection has not failed.
         let outcome = if reason == "stale" { Outcome::Abandoned } else { Outcome::Failed };
-        in_flight.end(outcome, None);
+        in_flight.end(outcome);
     }
 
     /// Whether a request that may have run may be retried.
@@ -339,13 +344,13 @@
         self: &Rc<Self>,
         progress: &mut Progress,
         pending: Box<PendingResponse>,
-        in_flight: InFlight<D>,
+        mut in_flight: InFlight<D>,
     ) -> Result<Option<Response<ResponseBody>>, Refusal> {
         progress.possible_runs += 1;
         if self.route.stream && pending.status.is_success() {
             return self.start_stream(progress, pending, in_flight).await;
         }
-        let PendingResponse { response, status, first_byte, .. } = *pending;
+        let PendingResponse { response, status, .. } = *pending;
         let headers = response.head.headers.clone();
         let body = match response.collect(MAX_BUFFERED_BODY).await {
             Ok(Some(body)) => body,
@@ -362,8 +367,12 @@
         self.record_begun();
         let failed = status.is_server_error();
         self.record_attempt(progress, &in_flight, if failed { "failed" } else { "answered" });
-        let outcome = if failed { Outcome::Failed } else { Outcome::Success };
-        in_flight.end(outcome, Some(first_byte));
+        if !failed {
+            let whole = self.gateway.now().saturating_sub(in_flight.sent_at);
+            let times = AnswerTimes { first_event: None, pause: None, whole: Some(whole) };
+            in_flight.record_pace(&self.pace_class(progress), &times);
+        }
+        in_flight.end(if failed { Outcome::Failed } else { Outcome::Success });
         if failed && self.may_retry(progress) && self.has_time_to_retry() {
             Metrics::count(&self.gateway.metrics.retries, "failed");
             return Ok(None);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,8 @@
 use config::Name;
 use conn::Pool;
 use dispatch::{
-    Blame, Catalog, Fleet, MonotonicTime, Pressure, PromptPart, RetryBudget, ServerInfo, Sessions,
+    Blame, Catalog, Fleet, MonotonicTime, PaceReference, Pressure, PromptPart, RetryBudget,
+    ServerInfo, Sessions,
 };
 use policy::Poison;
 use rand::{RngExt, SeedableRng};
@@ -119,6 +120,7 @@
             pressures: RefCell::default(),
             crashes: RefCell::default(),
             freshness: RefCell::default(),
+            paces: RefCell::default(),
             rollouts: RefCell::default(),
             rollout_started: Notify::new(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(self.seed)),
@@ -167,6 +169,8 @@
     pub(crate) crashes: RefCell<VecDeque<(u64, Name)>>,
     /// When the tables of the store were last confirmed.
     pub(crate) freshness: RefCell<Freshness>,
+    /// The pace of the answers of the current versions.
+    pub(crate) paces: RefCell<PaceReference>,
     pub(crate) rollouts: RefCell<HashMap<Name, TrackedRollout>>,
     /// Notified when an order becomes known.
     pub(crate) rollout_started: Notify,
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -8,7 +8,8 @@
 
 use config::Name;
 use dispatch::{
-    Decision, MonotonicTime, Phase, Rollout, RolloutOrder, RolloutState, RolloutStats, Side,
+    AnswerTimes, Decision, MonotonicTime, PaceClass, Phase, Rollout, RolloutOrder, RolloutState,
+    RolloutStats, Side,
 };
 use members::Role;
 use serde_json::json;
@@ -118,6 +119,10 @@
 }
 
 impl TrackedRollout {
+    fn side_of(&self, version: &Name) -> Side {
+        if *version == self.rollout.order.to { Side::New } else { Side::Old }
+    }
+
     /// Returns the statistics of the instances of this failure domain.
     pub fn domain_stats(&self, now: MonotonicTime) -> RolloutStats {
         let near = |source: &StatsSource| matches!(source, StatsSource::Instance(..));
@@ -417,16 +422,46 @@
     }
 
     /// Records an answer for the rollout of its service.
-    pub(crate) fn record_rollout_answer(
+    pub(crate) fn record_rollout_answer(&self, service: &Name, version: &Name, bad: bool) {
+        if let Some(tracked) = self.rollouts.borrow_mut().get_mut(service) {
+            let side = tracked.side_of(version);
+            tracked.own_stats.record_answer(side, bad);
+        }
+    }
+
+    /// Records the pace of an answer for the rollout of its service, if there are like
+    /// answers of the old version to compare it with.
+    pub(crate) fn record_rollout_pace(
         &self,
         service: &Name,
         version: &Name,
-        bad: bool,
-        first_byte: Option<Duration>,
+        class: &PaceClass,
+        times: &AnswerTimes,
     ) {
-        if let Some(tracked) = self.rollouts.borrow_mut().get_mut(service) {
-            let side = if *version == tracked.rollout.order.to { Side::New } else { Side::Old };
-            tracked.own_stats.record_answer(side, bad, first_byte);
+        let mut rollouts = self.rollouts.borrow_mut();
+        let Some(tracked) = rollouts.get_mut(service) else { return };
+        if let Some(ratio) = self.paces.borrow().ratio(class, times, self.now()) {
+            let side = tracked.side_of(version);
+            tracked.own_stats.record_pace(side, ratio);
+        }
+    }
+
+    /// Records the pace of an answer that has ended, with which those of a new version are
+    /// compared, unless its own version is new.
+    pub(crate) fn record_reference_pace(
+        &self,
+        service: &Name,
+        version: &Name,
+        class: &PaceClass,
+        times: &AnswerTimes,
+    ) {
+        let rollouts = self.rollouts.borrow();
+        let rollout = rollouts.get(service).map(|tracked| &tracked.rollout);
+        let is_new = rollout.is_some_and(|rollout| {
+            rollout.state == RolloutState::InProgress && rollout.order.to == *version
+        });
+        if !is_new {
+            self.paces.borrow_mut().record(class, times, self.now());
         }
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use config::Name;
 use conn::{IncomingResponse, Lease, SendError};
-use dispatch::{MonotonicTime, Outcome};
+use dispatch::{AnswerTimes, MonotonicTime, Outcome, PaceClass};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 
@@ -35,6 +35,8 @@
     pub sent_at: MonotonicTime,
     /// The prompt tokens that are still attributed to the server's load.
     prefill_tokens: f64,
+    /// Whether the pace of the answer was recorded for a rollout.
+    paced: bool,
     ended: bool,
 }
 
@@ -49,6 +51,7 @@
             version: target.version.clone(),
             prefill_tokens: target.prefill_tokens,
             sent_at: gateway.now(),
+            paced: false,
             ended: false,
         }
     }
@@ -60,14 +63,34 @@
     }
 
     /// Ends the request. A success or failure also counts in a rollout of the service.
-    pub fn end(mut self, outcome: Outcome, first_byte: Option<Duration>) {
+    pub fn end(mut self, outcome: Outcome) {
         self.record_outcome(outcome);
         let failed = outcome == Outcome::Failed;
         if matches!(outcome, Outcome::Success | Outcome::Failed) {
-            self.gateway.record_rollout_answer(&self.service, &self.version, failed, first_byte);
+            self.gateway.record_rollout_answer(&self.service, &self.version, failed);
         }
     }
 
+    /// Ends a request whose answer was dropped for that of a larger model. It shows neither
+    /// that its version is sound nor that it is slow, so it does not count in a rollout.
+    pub fn end_dropped(mut self) {
+        self.record_outcome(Outcome::Success);
+    }
+
+    /// Compares the pace of the answer with that of like ones, once.
+    pub fn compare_pace(&mut self, class: &PaceClass, times: &AnswerTimes) {
+        if !self.paced {
+            self.gateway.record_rollout_pace(&self.service, &self.version, class, times);
+        }
+        self.paced = true;
+    }
+
+    /// Compares the pace of an answer that has ended, and compares later ones with it.
+    pub fn record_pace(&mut self, class: &PaceClass, times: &AnswerTimes) {
+        self.compare_pace(class, times);
+        self.gateway.record_reference_pace(&self.service, &self.version, class, times);
+    }
+
     /// Counts the outcome and removes the request from the load of the server.
     fn record_outcome(&mut self, outcome: Outcome) {
         self.ended = true;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use conn::IncomingResponse;
-use dispatch::{Cascade, EscalationContext, Outcome};
+use dispatch::{AnswerTimes, Cascade, EscalationContext, Outcome, StreamPace};
 use error::Refusal;
 use http::Response;
 use tokio::sync::mpsc;
@@ -35,6 +35,7 @@
     reader: EventReader,
     in_flight: InFlight<D>,
     first_byte: Duration,
+    pace: StreamPace,
 }
 
 /// How an event stream ended.
@@ -46,6 +47,12 @@
 }
 
 impl<D: 'static> EventStream<D> {
+    /// The times of the answer so far; `whole` if it has ended.
+    fn times(&self, whole: Option<Duration>) -> AnswerTimes {
+        let (first_event, pause) = (Some(self.first_byte), self.pace.mean_pause());
+        AnswerTimes { first_event, pause, whole }
+    }
+
     /// Returns the next complete event, or how the stream ended.
     async fn next(&mut self) -> Result<Event, StreamEnd> {
         let until = Instant::now() + MAX_EVENT_GAP;
@@ -97,7 +104,7 @@
         if let Some(model) = larger_model
             && self.gateway.blame.borrow().is_proven(&self.request.prompt_parts)
         {
-            self.escalate(progress, in_flight, first_byte, model);
+            self.escalate(progress, in_flight, model);
             return Ok(None);
         }
         let headers = response.head.headers.clone();
@@ -117,7 +124,7 @@
         };
         self.record_begun();
         if let Some(model) = larger_model {
-            self.escalate(progress, stream.in_flight, first_byte, model);
+            self.escalate(progress, stream.in_flight, model);
             return Ok(None);
         }
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
@@ -131,15 +138,9 @@
     }
 
     /// Drops an answer to ask a larger model instead.
-    fn escalate(
-        &self,
-        progress: &mut Progress,
-        in_flight: InFlight<D>,
-        first_byte: Duration,
-        model: usize,
-    ) {
+    fn escalate(&self, progress: &mut Progress, in_flight: InFlight<D>, model: usize) {
         self.record_attempt(progress, &in_flight, "unsure");
-        in_flight.end(Outcome::Success, Some(first_byte));
+        in_flight.end_dropped();
         Metrics::count(&self.gateway.metrics.retries, "unsure");
         progress.model_index = model;
         progress.tried.clone_from(&progress.unreachable);
@@ -154,7 +155,8 @@
     ) -> EventStream<D> {
         let (gateway, addr) = (self.gateway.clone(), response.addr());
         let reader = EventReader::default();
-        EventStream { gateway, addr, response: Some(response), reader, in_flight, first_byte }
+        let (response, pace) = (Some(response), StreamPace::default());
+        EventStream { gateway, addr, response, reader, in_flight, first_byte, pace }
     }
 
     /// The index of a larger model to ask instead, if the confidence of the current one is too
@@ -199,7 +201,10 @@
     };
     exchange.record_attempt(&mut progress, &stream.in_flight, result);
     if result == "whole" {
-        stream.in_flight.end(Outcome::Success, Some(stream.first_byte));
+        let whole = gateway.now().saturating_sub(stream.in_flight.sent_at);
+        let times = stream.times(Some(whole));
+        stream.in_flight.record_pace(&exchange.pace_class(&progress), &times);
+        stream.in_flight.end(Outcome::Success);
         gateway.metrics.whole_answer.observe((gateway.now() - exchange.arrived).as_secs_f64());
         // Keeps the session pinned for its time to live after the end of the response.
         if let Some(session) = exchange.request.session {
@@ -211,6 +216,10 @@
             }
         }
     } else {
+        if stream.pace.mean_pause().is_some() {
+            let times = stream.times(None);
+            stream.in_flight.compare_pace(&exchange.pace_class(&progress), &times);
+        }
         // Closes the connection without terminating the stream.
         if sender.try_send(Err(Truncated)).is_err() {
             log::debug!("{}: the caller stopped reading the stream", exchange.request.id);
@@ -239,8 +248,16 @@
                 sender.send(Ok(event.bytes)).await.map_err(|_| "caller_left")?;
             }
         }
+        let waiting_since = Instant::now();
         match stream.next().await {
-            Ok(event) => next = Some(event),
+            Ok(event) => {
+                stream.pace.record_pause(waiting_since.elapsed());
+                if stream.pace.is_due() {
+                    let times = stream.times(None);
+                    stream.in_flight.compare_pace(&exchange.pace_class(progress), &times);
+                }
+                next = Some(event);
+            }
             Err(StreamEnd::Complete) => return Ok(()),
             Err(StreamEnd::Broken(reason)) => resume(exchange, progress, stream, reason).await?,
         }
@@ -277,7 +294,7 @@
                 let PendingResponse { response, first_byte, .. } = *pending;
                 let next = exchange.read_events(response, in_flight, first_byte);
                 let broken = std::mem::replace(stream, next);
-                broken.in_flight.end(Outcome::Failed, None);
+                broken.in_flight.end(Outcome::Failed);
                 return Ok(());
             }
             SendResult::Answered(_) => exchange.record_lost(progress, in_flight, "failed"),
