--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -57,7 +57,7 @@
     StallAfter(u64),
     /// Answers with a low value of `x-confidence`.
     LowConfidence,
-    /// Takes [`SLOW_FACTOR`] times as long between the events of a stream.
+    /// Takes several times as long between the events of a stream.
     Slow,
 }
 
