Instances that have nothing of a table fetch all of it, also if it was empty

Cause: the instance that reads first read the servers' table 20 ms before anything had been written, at revision 0. What the others fetched of it later counted as the changes since 0, not as the whole table, and an instance is ready only once it had the whole table.

Class: an empty value (revision 0) that also means "nothing yet".

Ruled out: rollouts (an order came 3 s later); the store (no call failed).

Evidence: table_loaded with revision 0 at the one instance that was ready, from a peer with revision 2 at the others.

Change: what is fetched since 0 is complete.

Test: since_nothing_is_complete_though_the_table_was_empty failed before.

--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -81,9 +81,10 @@
         }
     }
 
-    /// Returns what an instance that knows the table up to `since` misses.
+    /// Returns what an instance that knows the table up to `since` misses; all rows if it
+    /// knows nothing.
     pub fn since(&self, since: u64, unsettled: bool) -> TableDelta {
-        let complete = since < self.forgotten;
+        let complete = since == 0 || since < self.forgotten;
         let is_missing =
             |row: &&Row| if complete { row.value.is_some() } else { row.revision > since };
         let rows = self.rows.values().filter(is_missing).cloned().collect();
--- a/crates/gateway/tests/table.rs
+++ b/crates/gateway/tests/table.rs
@@ -39,6 +39,18 @@
     assert_eq!(delta.rows, [row("b", 7)]);
 }
 
+/// An instance that has nothing yet must know that it has all rows then: it is not ready
+/// before.
+#[test]
+fn since_nothing_is_complete_though_the_table_was_empty() {
+    let mut copy = TableCopy::default();
+    copy.replace(&[], known(0));
+    copy.change(&[row("a", 2)], 2);
+    let delta = copy.since(0, false);
+    assert!(delta.complete);
+    assert_eq!(delta.rows, [row("a", 2)]);
+}
+
 #[test]
 fn since_forgotten_deletions_is_complete() {
     let mut copy = TableCopy::default();
