Slow answers of a new version are seen while its servers are nearly idle

Cause: in the canary the new servers have few requests. An eightfold pause of an idle server is 2.4 times that of a loaded old one, and the canary, a twentieth of the requests, gives five to twenty answers until the shift; half of them are streams of one event, whose first event comes in time.

Change: how the pauses grow with the requests on a server, which servers report, is learned from the old version's answers, and an answer is compared at its own load. A stream without pauses does not count where like ones have some. The canary is a tenth of new sessions. The limit is 1.6, and 2.5 once all requests have shifted.

--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -3,7 +3,9 @@
 //! A slow version may begin its answers in time. So the time between the events of a
 //! stream counts as well as the time to the first one, and for short answers the time to
 //! their end. Each answer is compared with like ones of the old version, of the same route
-//! and model, at the same time: load slows both down.
+//! and model, at the same time. Load slows both down, and the servers of a new version have
+//! less of it: how the pauses grow with the requests on a server is learned from the old
+//! version's answers.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -25,6 +27,10 @@
 const MAX_RATIO: f64 = 4.0;
 /// Divisor of the ratio of first events: the caches of a new version's servers are empty.
 const FIRST_EVENT_ALLOWANCE: f64 = 1.5;
+/// Least variance of the load from which on the growth of the pauses with it is learned.
+const MIN_LOAD_VARIANCE: f64 = 0.5;
+/// What an idle server's pauses are taken for at least, as a fraction of the mean.
+const MIN_IDLE_FRACTION: f64 = 0.3;
 /// How long after its last answer a mean is compared with.
 const MAX_AGE: Duration = Duration::from_secs(4);
 
@@ -49,7 +55,7 @@
 }
 
 /// The times of one answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AnswerTimes {
     /// Time to the first event of a stream.
     pub first_event: Option<Duration>,
@@ -57,6 +63,8 @@
     pub pause: Option<Duration>,
     /// Time to the end, if it has ended.
     pub whole: Option<Duration>,
+    /// Number of requests on the server, if it reports that.
+    pub load: Option<u32>,
 }
 
 impl AnswerTimes {
@@ -108,32 +116,73 @@
 struct Mean {
     answers: u32,
     time_ms: f64,
+    /// Mean load, its variance, and its covariance with the time.
+    load: f64,
+    load_variance: f64,
+    covariance: f64,
     last_at: MonotonicTime,
 }
 
+impl Mean {
+    fn new(time_ms: f64, load: f64, now: MonotonicTime) -> Self {
+        let (load_variance, covariance) = (0.0, 0.0);
+        Mean { answers: 0, time_ms, load, load_variance, covariance, last_at: now }
+    }
+
+    fn add(&mut self, time_ms: f64, load: Option<f64>, now: MonotonicTime) {
+        self.answers += 1;
+        self.last_at = now;
+        let weight = (1.0 / f64::from(self.answers)).max(WEIGHT);
+        let time = time_ms.min(self.time_ms * MAX_RATIO) - self.time_ms;
+        self.time_ms += weight * time;
+        let load = load.unwrap_or(self.load) - self.load;
+        self.load += weight * load;
+        self.load_variance = (1.0 - weight) * (self.load_variance + weight * load * load);
+        self.covariance = (1.0 - weight) * (self.covariance + weight * load * time);
+    }
+
+    /// Returns the time that is expected at a load.
+    fn expected_ms(&self, load: Option<f64>) -> f64 {
+        let slope = match self.load_variance >= MIN_LOAD_VARIANCE {
+            true => (self.covariance / self.load_variance).max(0.0),
+            false => 0.0,
+        };
+        let at_load = self.time_ms + slope * (load.unwrap_or(self.load) - self.load);
+        at_load.max(self.time_ms * MIN_IDLE_FRACTION).max(1.0)
+    }
+}
+
 impl PaceReference {
     /// Records an answer of the current version.
     pub fn record(&mut self, class: &PaceClass, times: &AnswerTimes, now: MonotonicTime) {
         for (pace, time, _) in times.measures() {
-            let time_ms = time.as_secs_f64() * 1e3;
+            let (time_ms, load) = (time.as_secs_f64() * 1e3, times.load.map(f64::from));
             let mean = self.means.entry((class.clone(), pace));
-            let mean = mean.or_insert(Mean { answers: 0, time_ms, last_at: now });
-            mean.answers += 1;
-            mean.last_at = now;
-            let weight = (1.0 / f64::from(mean.answers)).max(WEIGHT);
-            mean.time_ms += weight * (time_ms.min(mean.time_ms * MAX_RATIO) - mean.time_ms);
+            let mean = mean.or_insert_with(|| Mean::new(time_ms, load.unwrap_or_default(), now));
+            mean.add(time_ms, load, now);
         }
     }
 
     /// Returns how many times as long as like answers of the current version an answer
     /// takes, at most 4; `None` if there are no recent ones to compare it with.
     pub fn ratio(&self, class: &PaceClass, times: &AnswerTimes, now: MonotonicTime) -> Option<f64> {
+        // Among streams with several events, one without says little.
+        let is_short = times.first_event.is_some() && times.pause.is_none();
+        if is_short && self.mean(class, Pace::Pause, now).is_some() {
+            return None;
+        }
         let ratios = times.measures().filter_map(|(pace, time, divisor)| {
-            let mean = self.means.get(&(class.clone(), pace))?;
-            let is_usable =
-                mean.answers >= MIN_ANSWERS && now.saturating_sub(mean.last_at) <= MAX_AGE;
-            is_usable.then(|| time.as_secs_f64() * 1e3 / mean.time_ms.max(1.0) / divisor)
+            let mean = self.mean(class, pace, now)?;
+            let load = times.load.map(f64::from).filter(|_| pace == Pace::Pause);
+            Some(time.as_secs_f64() * 1e3 / mean.expected_ms(load) / divisor)
         });
         ratios.map(|ratio| ratio.min(MAX_RATIO)).max_by(f64::total_cmp)
     }
+
+    /// Returns the mean of a class if it is recent and of enough answers.
+    fn mean(&self, class: &PaceClass, pace: Pace, now: MonotonicTime) -> Option<&Mean> {
+        let mean = self.means.get(&(class.clone(), pace))?;
+        let is_recent = now.saturating_sub(mean.last_at) <= MAX_AGE;
+        (mean.answers >= MIN_ANSWERS && is_recent).then_some(mean)
+    }
 }
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -14,7 +14,7 @@
 use crate::MonotonicTime;
 
 /// Fraction of sessions in the canary.
-const CANARY_FRACTION: f64 = 0.06;
+const CANARY_FRACTION: f64 = 0.1;
 /// Delay from the order to the start of the canary. By then the instances have
 /// exchanged which sessions run on the old version.
 const CANARY_DELAY: Duration = Duration::from_millis(1_500);
@@ -34,7 +34,9 @@
 /// Minimum number of timed answers of each version for a decision based on their pace.
 const MIN_TIMED_ANSWERS: u32 = 6;
 /// Answers of the new version must take this multiple of the old one's time, on average.
-const PACE_RATIO_LIMIT: f64 = 1.8;
+const PACE_RATIO_LIMIT: f64 = 1.6;
+/// The same once all requests have shifted: the new version then has the load of both.
+const SHIFTED_PACE_LIMIT: f64 = 2.5;
 
 /// An operator's rollout order.
 #[derive(Debug, Clone, PartialEq)]
@@ -159,11 +161,15 @@
     }
 
     /// Whether the new version is clearly worse than the old one.
-    pub fn is_regression(&self) -> bool {
+    pub fn is_regression(&self, phase: Phase) -> bool {
         let max_rate = FAILURE_RATIO_LIMIT * self.old.failure_rate() + FAILURE_RATE_MARGIN;
         let fails = self.new.bad >= MIN_FAILURES && self.new.failure_rate() > max_rate;
         let timed = self.new.timed >= MIN_TIMED_ANSWERS && self.old.timed >= MIN_TIMED_ANSWERS;
-        fails || (timed && self.new.mean_pace() > PACE_RATIO_LIMIT * self.old.mean_pace())
+        let pace_limit = match phase {
+            Phase::NotStarted | Phase::Canary | Phase::Shifting(_) => PACE_RATIO_LIMIT,
+            Phase::Shifted | Phase::Overdue => SHIFTED_PACE_LIMIT,
+        };
+        fails || (timed && self.new.mean_pace() > pace_limit * self.old.mean_pace())
     }
 }
 
@@ -251,7 +257,7 @@
         if self.state != RolloutState::InProgress {
             return Decision::Wait;
         }
-        if stats.is_regression() {
+        if stats.is_regression(self.phase(now)) {
             return Decision::RollBack;
         }
         match self.phase(now) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -369,7 +369,7 @@
         self.record_attempt(progress, &in_flight, if failed { "failed" } else { "answered" });
         if !failed {
             let whole = self.gateway.now().saturating_sub(in_flight.sent_at);
-            let times = AnswerTimes { first_event: None, pause: None, whole: Some(whole) };
+            let times = AnswerTimes { whole: Some(whole), ..AnswerTimes::default() };
             in_flight.record_pace(&self.pace_class(progress), &times);
         }
         in_flight.end(if failed { Outcome::Failed } else { Outcome::Success });
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -36,6 +36,8 @@
     in_flight: InFlight<D>,
     first_byte: Duration,
     pace: StreamPace,
+    /// Number of requests on the server when the answer began.
+    load: Option<u32>,
 }
 
 /// How an event stream ended.
@@ -50,7 +52,7 @@
     /// The times of the answer so far; `whole` if it has ended.
     fn times(&self, whole: Option<Duration>) -> AnswerTimes {
         let (first_event, pause) = (Some(self.first_byte), self.pace.mean_pause());
-        AnswerTimes { first_event, pause, whole }
+        AnswerTimes { first_event, pause, whole, load: self.load }
     }
 
     /// Returns the next complete event, or how the stream ended.
@@ -108,7 +110,8 @@
             return Ok(None);
         }
         let headers = response.head.headers.clone();
-        let mut stream = self.read_events(response, in_flight, first_byte);
+        let load = info.report.map(|report| report.running);
+        let mut stream = self.read_events(response, in_flight, first_byte, load);
         let first = match stream.next().await {
             Ok(event) => Some(event),
             Err(StreamEnd::Complete) => None,
@@ -152,11 +155,12 @@
         response: IncomingResponse,
         in_flight: InFlight<D>,
         first_byte: Duration,
+        load: Option<u32>,
     ) -> EventStream<D> {
         let (gateway, addr) = (self.gateway.clone(), response.addr());
         let reader = EventReader::default();
         let (response, pace) = (Some(response), StreamPace::default());
-        EventStream { gateway, addr, response, reader, in_flight, first_byte, pace }
+        EventStream { gateway, addr, response, reader, in_flight, first_byte, pace, load }
     }
 
     /// The index of a larger model to ask instead, if the confidence of the current one is too
@@ -291,8 +295,9 @@
             SendResult::Answered(pending) if pending.status.is_success() => {
                 progress.possible_runs += 1;
                 Metrics::count(&exchange.gateway.metrics.retries, "resumed");
-                let PendingResponse { response, first_byte, .. } = *pending;
-                let next = exchange.read_events(response, in_flight, first_byte);
+                let PendingResponse { response, info, first_byte, .. } = *pending;
+                let load = info.report.map(|report| report.running);
+                let next = exchange.read_events(response, in_flight, first_byte, load);
                 let broken = std::mem::replace(stream, next);
                 broken.in_flight.end(Outcome::Failed);
                 return Ok(());
