--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -38,6 +38,7 @@
 mod reader_election;
 mod rollout;
 mod route_stats;
+mod session_outbox;
 mod sessions;
 mod slots;
 
@@ -61,6 +62,7 @@
     Decision, Phase, Rollout, RolloutOrder, RolloutState, RolloutStats, Sample, Side, in_canary,
 };
 pub use route_stats::RouteStats;
+pub use session_outbox::SessionOutbox;
 pub use sessions::Sessions;
 pub use slots::SlotIssuer;
 
--- a/crates/dispatch/src/sessions.rs
+++ b/crates/dispatch/src/sessions.rs
@@ -55,6 +55,17 @@
         self.is_recent(known, now).then_some(&known.version)
     }
 
+    /// Returns all sessions within the time to live, with the versions that they last ran on.
+    pub fn recent(&self, now: MonotonicTime) -> Vec<(u64, Name)> {
+        let recent = self.sessions.iter().filter(|(_, known)| self.is_recent(known, now));
+        recent.map(|(session, known)| (*session, known.version.clone())).collect()
+    }
+
+    /// Whether there are sessions that have not been taken to be shared.
+    pub fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     fn is_recent(&self, session: &Session, now: MonotonicTime) -> bool {
         session.open > 0 || now.saturating_sub(session.last) <= self.ttl
     }
@@ -116,9 +127,7 @@
     /// When sharing starts, all sessions within the time to live become pending.
     pub fn set_sharing(&mut self, sharing: bool, now: MonotonicTime) {
         if sharing && !self.sharing {
-            let recent = self.sessions.iter().filter(|(_, known)| self.is_recent(known, now));
-            self.pending =
-                recent.map(|(session, known)| (*session, known.version.clone())).collect();
+            self.pending = self.recent(now);
             self.reshared_at = now;
         }
         self.sharing = sharing;
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use config::Name;
-use dispatch::{RolloutState, RolloutStats, RouteStats, Sample, ServerLoad, in_canary};
-use policy::hash_unit;
+use dispatch::{RolloutState, RolloutStats, RouteStats, Sample, ServerLoad};
 use serde::{Deserialize, Serialize};
 
 use crate::gateway::Gateway;
@@ -106,6 +105,23 @@
 }
 
 impl Digest {
+    /// Creates a digest that tells of nothing but sessions.
+    pub fn of_sessions(
+        scope: Scope,
+        domain: &Name,
+        incarnation: u64,
+        sessions: Vec<(u64, Name)>,
+    ) -> Self {
+        Digest {
+            scope,
+            domain: domain.clone(),
+            incarnation,
+            rollouts: Vec::new(),
+            poison: Vec::new(),
+            sessions,
+        }
+    }
+
     /// Whether two digests are equal except for the ages of orders, which always grow
     /// and so are no reason to send a digest.
     pub fn same_except_age(&self, other: &Digest) -> bool {
@@ -216,13 +232,6 @@
         });
     }
 
-    /// Takes the sessions of the canary that were not sent yet.
-    pub(crate) fn take_sessions(&self) -> Vec<(u64, Name)> {
-        let mut sessions = self.sessions.borrow_mut().take_pending(self.now());
-        sessions.retain(|(session, _)| in_canary(hash_unit(*session)));
-        sessions
-    }
-
     /// Returns this instance's loads, sorted by server so that they can be compared.
     pub(crate) fn own_loads(&self) -> Loads {
         let mut servers: Vec<(Name, u32, u32)> = self
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -102,7 +102,9 @@
             .and_then(parse_since)
             .and_then(|since| packed_table(peers, last_answer, table, since)),
         None if path == STATE_PATH && gateway.rollout_states_known() => {
-            pack(&peers.installation_digest(gateway)).ok().map(Bytes::from)
+            let mut digest = peers.installation_digest(gateway);
+            digest.sessions = gateway.canary_sessions();
+            pack(&digest).ok().map(Bytes::from)
         }
         None => None,
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,6 +112,7 @@
             fleet: RefCell::default(),
             directory_loaded: Cell::new(false),
             sessions: RefCell::new(Sessions::new(settings.session_ttl)),
+            sessions_changed: Notify::new(),
             budget: RefCell::new(RetryBudget::new(
                 settings.retry_ratio,
                 settings.retry_slack,
@@ -176,6 +177,8 @@
     pub(crate) pool: Pool,
     pub(crate) fleet: RefCell<Fleet>,
     pub(crate) sessions: RefCell<Sessions>,
+    /// Notified when other instances need to know of a session.
+    pub(crate) sessions_changed: Notify,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) poison: RefCell<Poison>,
     /// Parts of prompts that crash servers.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod reachability;
 mod rollouts;
 mod send;
+mod session_sharing;
 mod status;
 mod stream;
 mod table;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,10 @@
     pub permits: Family<Reason, Counter>,
     /// Rate limits in answers of servers that could not be read.
     pub invalid_rate_limits: Counter,
+    /// Sessions told to other instances, counted for each of them.
+    pub sessions_told: Counter,
+    /// Sessions that were not told because there were too many.
+    pub sessions_dropped: Counter,
     /// Log lines dropped by the rate limit.
     pub dropped_lines: Counter,
 }
@@ -103,6 +107,8 @@
             limited_servers: Gauge::default(),
             permits: Family::default(),
             invalid_rate_limits: Counter::default(),
+            sessions_told: Counter::default(),
+            sessions_dropped: Counter::default(),
             dropped_lines: Counter::default(),
         };
         metrics.register();
@@ -159,6 +165,10 @@
         registry.register("permits", "Permits asked for, by answer", permits);
         let invalid = self.invalid_rate_limits.clone();
         registry.register("invalid_rate_limits", "Rate limits that are no number", invalid);
+        let told = self.sessions_told.clone();
+        registry.register("sessions_told", "Sessions told to other instances", told);
+        let dropped = self.sessions_dropped.clone();
+        registry.register("sessions_dropped", "Sessions not told as there were too many", dropped);
         let dropped = self.dropped_lines.clone();
         registry.register("lines_left_out", "Log lines left out to bound their number", dropped);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result, anyhow};
-use config::Name;
 use dispatch::{BlameReport, MonotonicTime, READER_TIMEOUT};
 use members::{Envelope, Member, Membership, Role};
 use serde::{Deserialize, Serialize};
@@ -27,6 +26,7 @@
 use crate::permits::{PermitDesk, PermitRelease, PermitReply, PermitRequest};
 use crate::rate_limits::RateReport;
 use crate::rollouts::Coverage;
+use crate::session_sharing::SessionOutboxes;
 use crate::table::TableCopy;
 use crate::updates::{KnownRevision, ReceivedUpdate, TableUpdate};
 use crate::wire::Dialect;
@@ -59,8 +59,6 @@
 const MIN_SHARED_INSTALLATION: usize = 12;
 /// Capacity of the queue of received updates of a table; further ones are dropped.
 const UPDATE_QUEUE_LEN: usize = 64;
-/// Maximum number of sessions in one datagram.
-const MAX_SESSIONS: usize = 400;
 
 /// The other instances of the installation.
 #[derive(Debug)]
@@ -82,9 +80,7 @@
     answers: RefCell<BTreeMap<&'static str, StoreAnswer>>,
     /// Tables that this instance follows.
     pub(crate) tables: RefCell<BTreeMap<&'static str, TableCopy>>,
-    /// Sessions for the instances of the domain and for the other hubs.
-    domain_sessions: RefCell<SessionOutbox>,
-    hub_sessions: RefCell<SessionOutbox>,
+    pub(crate) session_outboxes: SessionOutboxes,
     /// Whether an instance has appeared that needs the state sent again.
     newcomer: Cell<bool>,
     /// Since when this instance acts as hub, if it does.
@@ -103,28 +99,6 @@
     own: bool,
 }
 
-/// Sessions to send. Each is sent twice, since datagrams can be lost.
-#[derive(Debug, Default)]
-struct SessionOutbox {
-    fresh: Vec<(u64, Name)>,
-    sent_once: Vec<(u64, Name)>,
-}
-
-impl SessionOutbox {
-    fn add(&mut self, sessions: &[(u64, Name)]) {
-        let free = MAX_SESSIONS.saturating_sub(self.fresh.len());
-        self.fresh.extend(sessions.iter().take(free).cloned());
-    }
-
-    fn take(&mut self) -> Vec<(u64, Name)> {
-        let fresh = std::mem::take(&mut self.fresh);
-        let mut sessions = std::mem::replace(&mut self.sent_once, fresh.clone());
-        sessions.extend(fresh);
-        sessions.truncate(MAX_SESSIONS);
-        sessions
-    }
-}
-
 /// A digest that is sent when it changes, and again after some time.
 #[derive(Debug, Default)]
 struct Sent {
@@ -191,8 +165,7 @@
             update_queues: RefCell::default(),
             answers: RefCell::default(),
             tables: RefCell::default(),
-            domain_sessions: RefCell::default(),
-            hub_sessions: RefCell::default(),
+            session_outboxes: SessionOutboxes::default(),
             newcomer: Cell::new(false),
             hub_since: Cell::new(None),
             permits: PermitDesk::default(),
@@ -204,6 +177,11 @@
         self.own
     }
 
+    /// Distinguishes this process from earlier ones at its address.
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Gives access to the membership.
     pub(crate) fn membership(&self) -> std::cell::RefMut<'_, Membership> {
         self.membership.borrow_mut()
@@ -364,6 +342,7 @@
         tokio::task::spawn_local(self.clone().send_answers(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_blame(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_rate_limits(gateway.clone()));
+        tokio::task::spawn_local(self.clone().send_sessions(gateway.clone()));
         tokio::task::spawn_local(self.send_digests(gateway));
         Ok(())
     }
@@ -398,11 +377,8 @@
         loop {
             tokio::time::sleep(DIGEST_INTERVAL).await;
             let now = gateway.now();
-            let own_sessions = gateway.take_sessions();
-            self.hub_sessions.borrow_mut().add(&own_sessions);
             if !self.is_hub(now) {
-                let mut digest = gateway.digest(Scope::Instance, self.incarnation);
-                digest.sessions = self.hub_sessions.borrow_mut().take();
+                let digest = gateway.digest(Scope::Instance, self.incarnation);
                 let refresh = digest.has_rollout_in_progress();
                 if to_hub.is_due(&digest, refresh) {
                     let uplinks = self.membership.borrow().uplinks(now);
@@ -411,17 +387,14 @@
                 }
                 continue;
             }
-            self.domain_sessions.borrow_mut().add(&own_sessions);
-            let mut digest = gateway.digest(Scope::Domain, self.incarnation);
-            digest.sessions = self.hub_sessions.borrow_mut().take();
+            let digest = gateway.digest(Scope::Domain, self.incarnation);
             let refresh = digest.has_rollout_in_progress();
             if to_hubs.is_due(&digest, refresh) {
                 let hubs = self.membership.borrow().foreign_hubs(now);
                 self.send(&Message::Digest(digest), &hubs).await;
                 self.send_routes(&gateway, Scope::Domain, &hubs).await;
             }
-            let mut digest = self.installation_digest(&gateway);
-            digest.sessions = self.domain_sessions.borrow_mut().take();
+            let digest = self.installation_digest(&gateway);
             let refresh = !digest.is_empty();
             if to_domain.is_due(&digest, refresh) || self.newcomer.take() {
                 let neighbours = self.membership.borrow().neighbours(now);
@@ -534,12 +507,7 @@
             Message::Routes(report) => gateway.apply_route_report(report, from),
             Message::PermitRelease(release) => self.permits.release(&release, now),
             Message::Digest(digest) => {
-                if self.is_hub(now) {
-                    self.domain_sessions.borrow_mut().add(&digest.sessions);
-                    if digest.scope == Scope::Instance {
-                        self.hub_sessions.borrow_mut().add(&digest.sessions);
-                    }
-                }
+                self.pass_on_sessions(gateway, &digest, now);
                 gateway.apply_digest(digest, from);
             }
             Message::Update(update) => {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -389,6 +389,7 @@
         log_event("rollout_ordered", self.now(), fields);
         let service = order.service.clone();
         self.sessions.borrow_mut().set_sharing(true, self.now());
+        self.sessions_changed.notify_one();
         let tracked = TrackedRollout {
             rollout: Rollout::new(order),
             own_stats: RolloutStats::default(),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -73,7 +73,7 @@
         // The helper records the version of the session.
         let session = session.filter(|_| helper.is_none());
         if let Some(session) = session {
-            gateway.sessions.borrow_mut().begin(session, &target.version, gateway.now());
+            gateway.begin_session(session, &target.version);
         }
         let mut fleet = gateway.fleet.borrow_mut();
         fleet.request_sent(&target.server, target.prefill_tokens);
@@ -147,7 +147,7 @@
     fn record_outcome(&mut self, outcome: Outcome) {
         self.ended = true;
         if let Some(session) = self.session {
-            self.gateway.sessions.borrow_mut().end(session, self.gateway.now());
+            self.gateway.end_session(session);
         }
         if let Some(addr) = self.helper {
             return self.gateway.helpers.borrow_mut().request_ended(addr);
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -75,6 +75,10 @@
 //!   by then.
 //! - `burst NODE PATH COUNT` sends requests at once, each with a new session, and does not wait;
 //!   `burst-ends` waits for the responses, for `answered`.
+//! - `users NODE,NODE,... PATH SECONDS COUNT` lets so many callers each send four requests of a
+//!   session, to instances in turn, and then begin another session; all sessions are in the
+//!   canary of a rollout. `pinned MOST` checks that in the first half of the last rollout no
+//!   more than so many of their requests ran on another version than the one before.
 //! - `raw NODE TEXT` sends bytes (`\s`, `\r`, `\n` stand for space and line ends) and
 //!   reads until the connection is closed. `says TEXT` and `lacks TEXT` check what was
 //!   received, `answers N` the number of responses.
@@ -90,6 +94,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result, bail, ensure};
+use dispatch::in_canary;
 use fakes::{
     BrittleCapacity, EndlessPart, EndlessServer, Relay, RelayMode, SiteFault, SiteRequest,
     SiteRequestLog, SiteServer, SiteStore,
@@ -112,6 +117,10 @@
 const LIMIT_NOTICE: Duration = Duration::from_secs(3);
 /// The window over which a rate limit is checked.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// The number of requests of each session of a `users` step.
+const SESSION_REQUESTS: usize = 4;
+/// The pause of a `users` step between two requests of a session.
+const SESSION_PAUSE: Duration = Duration::from_millis(100);
 /// The time between two polls of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -153,6 +162,11 @@
     last_reply: Option<(Reply, Duration)>,
     /// When the last rollout was ordered.
     ordered_at: Option<Instant>,
+    /// The planned duration of the last rollout.
+    order_duration: Duration,
+    /// The sessions of `users` steps: the ids of the requests, in order, each sent once the one
+    /// before was answered.
+    user_sessions: Vec<Vec<String>>,
     /// When the last configuration was written.
     configured_at: Option<Instant>,
     /// The store's counts of calls at the last `calls-reset` step, by path.
@@ -178,6 +192,8 @@
             pending: HashMap::new(),
             last_reply: None,
             ordered_at: None,
+            order_duration: Duration::ZERO,
+            user_sessions: Vec::new(),
             configured_at: None,
             calls_before: HashMap::new(),
             raw_response: String::new(),
@@ -294,7 +310,9 @@
             ["metric", id, name, value] => self.node(id)?.wait_metric(name, value).await?,
             ["store", how] => self.set_store(how)?,
             ["order", service, version, seconds] => {
-                let order = json!({ "service": service, "to": version, "duration_s": seconds.parse::<f64>()? });
+                let seconds: f64 = seconds.parse()?;
+                let order = json!({ "service": service, "to": version, "duration_s": seconds });
+                self.order_duration = Duration::from_secs_f64(seconds);
                 self.store.put("op", &format!("rollout/{service}"), order.to_string().as_bytes());
                 self.ordered_at = Some(Instant::now());
             }
@@ -334,6 +352,19 @@
                 let nodes: Vec<&str> = nodes.split(',').collect();
                 self.flood(&nodes, path, seconds.parse()?, rate.parse()?).await?;
             }
+            ["users", nodes, path, seconds, count] => {
+                let nodes: Vec<&str> = nodes.split(',').collect();
+                let until = Instant::now() + Duration::from_secs_f64(seconds.parse()?);
+                self.run_users(&nodes, path, until, count.parse()?).await?;
+            }
+            ["pinned", most] => {
+                let changes = self.version_changes()?;
+                ensure!(
+                    changes.len() <= most.parse()?,
+                    "{} requests changed the version, {changes:?} after the order",
+                    changes.len()
+                );
+            }
             ["burst", node, path, count] => {
                 for number in 0..count.parse::<usize>()? {
                     let (id, session) = (format!("burst-{number}"), format!("session=b{number}"));
@@ -611,6 +642,66 @@
         Ok(())
     }
 
+    /// Lets callers send requests in sessions of the canary; each request must be answered with
+    /// 200.
+    async fn run_users(
+        &mut self,
+        nodes: &[&str],
+        path: &str,
+        until: Instant,
+        count: usize,
+    ) -> Result<()> {
+        let mut names = (0u64..)
+            .map(|number| format!("u{number}"))
+            .filter(|name| in_canary(policy::hash_unit(policy::hash_parts(&[name.as_bytes()]))));
+        // Callers are at different requests of their sessions.
+        let mut sessions: Vec<UserSession> = (0..count)
+            .map(|user| UserSession::new(&mut names, 1 + user % SESSION_REQUESTS))
+            .collect();
+        let mut turn = 0;
+        while Instant::now() < until {
+            for session in &mut sessions {
+                let id = format!("{}-{}", session.name, session.ids.len());
+                let option = format!("session={}", session.name);
+                self.start_request(nodes[turn % nodes.len()], path, &id, &Options(&[&option]))?;
+                session.ids.push(id);
+                turn += 1;
+            }
+            // The next requests go to other instances.
+            turn += usize::from(count.is_multiple_of(nodes.len()));
+            for session in &mut sessions {
+                self.wait_reply(&session.ids[session.ids.len() - 1]).await?;
+                self.check_reply(200, &Options(&["whole"]))?;
+                if session.ids.len() == session.length {
+                    let next = UserSession::new(&mut names, SESSION_REQUESTS);
+                    self.user_sessions.push(std::mem::replace(session, next).ids);
+                }
+            }
+            tokio::time::sleep(SESSION_PAUSE).await;
+        }
+        self.user_sessions.extend(sessions.into_iter().map(|session| session.ids));
+        Ok(())
+    }
+
+    /// The requests of `users` steps in the first half of the last rollout that ran on another
+    /// version than the one before in their session, by the time since the order.
+    fn version_changes(&self) -> Result<Vec<Duration>> {
+        let ordered_at = self.ordered_at.context("no rollout was ordered before")?;
+        let request_log = self.request_log.lock().unwrap();
+        let runs: HashMap<&str, &SiteRequest> =
+            request_log.iter().map(|request| (&*request.id, request)).collect();
+        let version = |run: &SiteRequest| {
+            self.servers.get(&run.server).and_then(|(_, entry)| entry["version"].as_str())
+        };
+        let change = |ids: &[String]| {
+            let (last, next) = (runs.get(&*ids[0])?, runs.get(&*ids[1])?);
+            let since = next.received_at.checked_duration_since(ordered_at)?;
+            let changed = since < self.order_duration / 2 && version(last) != version(next);
+            changed.then_some(since)
+        };
+        Ok(self.user_sessions.iter().flat_map(|ids| ids.windows(2)).filter_map(change).collect())
+    }
+
     /// Checks that all flooded requests that were not answered were rejected, with a time to
     /// come back, within a time.
     fn check_rejections(&self, within: Duration) -> Result<()> {
@@ -763,6 +854,21 @@
     }
 }
 
+/// A session of a `users` step.
+struct UserSession {
+    name: String,
+    /// The number of requests after which the session ends.
+    length: usize,
+    /// The ids of the requests so far.
+    ids: Vec<String>,
+}
+
+impl UserSession {
+    fn new(names: &mut impl Iterator<Item = String>, length: usize) -> Self {
+        UserSession { name: names.next().unwrap_or_default(), length, ids: Vec::new() }
+    }
+}
+
 /// Parses the fault of a `fault` or `always` step; `count` is the event after which a stream
 /// fault applies.
 fn parse_fault(kind: &str, count: Option<&&str>) -> Result<SiteFault> {
