Servers that say in their answers that they leave get nothing new

Cause: nothing read the header; only the entry in the store counted.

Change: the server's own word is kept for its incarnation, beside its entry: neither an entry that still says ready nor one that is listed again after it was gone brings it back. If all servers leave, the request is rejected at once.

Weighed: telling the instances of the domain. It costs a field in a message whose bytes are fixed, and the store says the same; not built.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -27,6 +27,8 @@
 const PART_CACHE_TTL: Duration = Duration::from_secs(20);
 /// How long a peer's report of its load is valid.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1_500);
+/// Maximum number of servers remembered that said that they leave and are no longer listed.
+const MAX_LEAVERS: usize = 1_000;
 /// Maximum number of cached prompt parts remembered per server.
 const MAX_CACHED_PARTS: usize = 2_000;
 
@@ -107,6 +109,8 @@
     denied_until: [MonotonicTime; PRIORITY_CLASSES],
     /// Whether it is brittle: having to reject requests makes it crash.
     pub brittle: bool,
+    /// Whether it said itself that it shuts down. Its directory entry may be older.
+    said_leaving: bool,
 }
 
 impl Server {
@@ -126,9 +130,15 @@
             rate_limit: RateLimit::default(),
             denied_until: [MonotonicTime::ZERO; PRIORITY_CLASSES],
             brittle: false,
+            said_leaving: false,
         }
     }
 
+    /// Whether the server shuts down and must get no new requests.
+    pub fn is_leaving(&self) -> bool {
+        self.info.leaving || self.said_leaving
+    }
+
     /// Estimates the requests on the server, including those of other instances.
     pub fn load(&self, now: MonotonicTime) -> f64 {
         let own = f64::from(self.in_flight);
@@ -250,6 +260,9 @@
     positions: HashMap<Name, usize>,
     /// Indices into `servers`, by service.
     services: HashMap<Name, Vec<usize>>,
+    /// Start times of the servers that said that they leave, by id, also of those that are no
+    /// longer listed: an older entry may be listed again.
+    leavers: HashMap<Name, u64>,
 }
 
 impl Fleet {
@@ -257,6 +270,7 @@
     ///
     /// A new incarnation under an existing id starts with empty state.
     pub fn update(&mut self, info: ServerInfo) {
+        let said_leaving = self.leavers.get(&info.id) == Some(&info.started_at_ms);
         if self.get(&info.id).is_some_and(|known| known.info.service != info.service) {
             self.remove(&info.id);
         }
@@ -265,12 +279,12 @@
                 server.info = info;
                 server.expired_at = None;
             }
-            Some(server) => *server = Server::new(info),
+            Some(server) => *server = Server { said_leaving, ..Server::new(info) },
             None => {
                 let position = self.servers.len();
                 self.services.entry(info.service.clone()).or_default().push(position);
                 self.positions.insert(info.id.clone(), position);
-                self.servers.push(Server::new(info));
+                self.servers.push(Server { said_leaving, ..Server::new(info) });
             }
         }
     }
@@ -328,6 +342,21 @@
         }
     }
 
+    /// Records that a server said that it shuts down; returns whether this is news.
+    pub fn announce_leaving(&mut self, id: &str) -> bool {
+        let Some(server) = self.get_mut(id).filter(|server| !server.said_leaving) else {
+            return false;
+        };
+        server.said_leaving = true;
+        let (id, started_at_ms) = (server.info.id.clone(), server.info.started_at_ms);
+        if self.leavers.len() >= MAX_LEAVERS {
+            let positions = &self.positions;
+            self.leavers.retain(|id, _| positions.contains_key(id));
+        }
+        self.leavers.insert(id, started_at_ms);
+        true
+    }
+
     /// Records a request sent to a server with the prompt tokens it must process.
     pub fn request_sent(&mut self, id: &str, prefill_tokens: f64) {
         if let Some(server) = self.get_mut(id) {
@@ -455,7 +484,7 @@
 
     /// Whether a service has servers and none of them can be reached.
     pub fn is_service_lost(&self, service: &str) -> bool {
-        let mut servers = self.servers_of(service).filter(|server| !server.info.leaving).peekable();
+        let mut servers = self.servers_of(service).filter(|server| !server.is_leaving()).peekable();
         servers.peek().is_some() && servers.all(|server| server.unreachable_since.is_some())
     }
 
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -110,7 +110,7 @@
     now: MonotonicTime,
 ) -> Result<Placement, PlacementError> {
     let allowed = |server: &&Server| {
-        !server.info.leaving
+        !server.is_leaving()
             && request.version.is_none_or(|version| *version == server.info.version)
             && !request.excluded_versions.contains(&server.info.version)
     };
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -7,7 +7,7 @@
 use common::{at, info, parts};
 use dispatch::{
     Fleet, LoadReport, Outcome, PlacementError, PlacementRequest, PromptPart, PromptPartKey,
-    RateNotice, place,
+    RateNotice, ServerInfo, place,
 };
 
 #[derive(Default)]
@@ -72,6 +72,35 @@
     }
 }
 
+#[test]
+fn announce_leaving_is_kept_beside_older_entries() {
+    let mut fleet = fleet(1);
+    assert!(fleet.announce_leaving("s0"));
+    assert!(!fleet.announce_leaving("s0"));
+    fleet.update(info("s0", "z1", "v1"));
+    assert!(fleet.get("s0").unwrap().is_leaving());
+    fleet.remove("s0");
+    fleet.update(info("s0", "z1", "v1"));
+    assert!(fleet.get("s0").unwrap().is_leaving());
+}
+
+#[test]
+fn announce_leaving_ends_with_the_incarnation() {
+    let mut fleet = fleet(1);
+    fleet.announce_leaving("s0");
+    fleet.update(ServerInfo { started_at_ms: 2, ..info("s0", "z1", "v1") });
+    assert!(!fleet.get("s0").unwrap().is_leaving());
+}
+
+#[test]
+fn announce_leaving_all_servers_leaves_none() {
+    let mut fleet = fleet(2);
+    fleet.announce_leaving("s0");
+    fleet.announce_leaving("s1");
+    let placed = chosen(&fleet, &Query::default(), 0.5, at(0));
+    assert_eq!(placed, Err(PlacementError::NoServer));
+}
+
 #[test]
 fn place_excluded_version_gets_nothing() {
     let mut fleet = fleet(1);
--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -1,7 +1,7 @@
 //! A fake backend server of the users' platform, for plain requests and model streams.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -116,6 +116,8 @@
     failing_prefix: Mutex<Option<String>>,
     /// The value of `server-limit` in all responses.
     rate_limit: Mutex<Option<String>>,
+    /// Whether all responses say that the server leaves.
+    leaving: AtomicBool,
     capacity: Mutex<Option<BrittleCapacity>>,
     /// The number of requests that run and count towards the capacity.
     running: AtomicUsize,
@@ -140,6 +142,7 @@
             deadly_part: Mutex::default(),
             failing_prefix: Mutex::default(),
             rate_limit: Mutex::default(),
+            leaving: AtomicBool::new(false),
             capacity: Mutex::default(),
             running: AtomicUsize::new(0),
             rejections: Mutex::default(),
@@ -184,6 +187,11 @@
         *self.state.rate_limit.lock().unwrap() = limit.map(str::to_owned);
     }
 
+    /// Makes all responses say that the server leaves.
+    pub fn announce_leaving(&self) {
+        self.state.leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Makes the server brittle, or sound if there is no capacity.
     pub fn set_brittle(&self, capacity: Option<BrittleCapacity>) {
         *self.state.capacity.lock().unwrap() = capacity;
@@ -244,6 +252,9 @@
         if let Some(limit) = &*self.rate_limit.lock().unwrap() {
             headers.insert("server-limit", limit.parse().ok()?);
         }
+        if self.leaving.load(Ordering::Relaxed) {
+            headers.insert("server-leaving", "1".parse().ok()?);
+        }
         if let Some(capacity) = capacity {
             headers.insert("server-brittle", capacity.max_rejections.into());
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod join;
 mod listener;
 mod metrics;
+mod notices;
 mod packed;
 mod peers;
 mod permits;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,8 @@
     pub permits: Family<Reason, Counter>,
     /// Rate limits in answers of servers that could not be read.
     pub invalid_rate_limits: Counter,
+    /// Answers in which what the server says of itself can't be read.
+    pub invalid_notices: Counter,
     /// Sessions told to other instances, counted for each of them.
     pub sessions_told: Counter,
     /// Sessions that were not told because there were too many.
@@ -107,6 +109,7 @@
             limited_servers: Gauge::default(),
             permits: Family::default(),
             invalid_rate_limits: Counter::default(),
+            invalid_notices: Counter::default(),
             sessions_told: Counter::default(),
             sessions_dropped: Counter::default(),
             dropped_lines: Counter::default(),
@@ -165,6 +168,8 @@
         registry.register("permits", "Permits asked for, by answer", permits);
         let invalid = self.invalid_rate_limits.clone();
         registry.register("invalid_rate_limits", "Rate limits that are no number", invalid);
+        let notices = self.invalid_notices.clone();
+        registry.register("invalid_notices", "Notices of servers that can't be read", notices);
         let told = self.sessions_told.clone();
         registry.register("sessions_told", "Sessions told to other instances", told);
         let dropped = self.sessions_dropped.clone();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -383,6 +383,7 @@
         if !info.misdirected {
             self.gateway.observe_rate(&target.server, info.rate, sent_at);
             self.gateway.fleet.borrow_mut().set_brittle(&target.server, info.brittle);
+            self.gateway.observe_notices(&target.server, &info);
         }
         if info.misdirected {
             self.gateway.fleet.borrow_mut().mark_leaving(&target.server);
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -59,6 +59,10 @@
     pub misdirected: bool,
     /// The load that the server reports.
     pub report: Option<LoadReport>,
+    /// Whether the server says that it shuts down.
+    pub leaving: bool,
+    /// Whether what the server says about this can't be read.
+    pub invalid_notice: bool,
     /// Whether the server says that it is brittle: having to reject requests makes it crash.
     pub brittle: bool,
     /// What the server says about the rate of requests that it takes.
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -12,6 +12,8 @@
 //! - `endless ID SERVICE PART` starts and lists a server that sends a part of a response
 //!   without end, see [`EndlessPart`]; `sending ID N` waits until it sends on `N`
 //!   connections, `asked ID MOST` checks that it has received at most so many requests.
+//! - `says-leaving ID` makes a server say in all responses that it leaves.
+//! - `received ID LEAST MOST` checks how many requests a server has received so far.
 //! - `leave ID` marks a server's entry as draining, `gone ID` removes the entry, `back ID`
 //!   writes it again.
 //! - `other ID NEW` gives the server's address to a server with the id `NEW`; `down ID`
@@ -224,6 +226,12 @@
                 ensure!(requests <= most.parse()?, "it received {requests} requests");
             }
             ["leave", id] => self.change_entry(id, "state", "draining")?,
+            ["says-leaving", id] => self.find_server(id)?.announce_leaving(),
+            ["received", id, least, most] => {
+                let count = self.received_at(id).len();
+                let allowed = least.parse()?..=most.parse()?;
+                ensure!(allowed.contains(&count), "it received {count} requests");
+            }
             ["gone", id] => self.store.remove("servers", id),
             ["back", id] => self.list(id)?,
             ["other", id, new] => self.find_server(id)?.set_id(new),
