--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -27,6 +27,11 @@
 const PART_CACHE_TTL: Duration = Duration::from_secs(20);
 /// How long a peer's report of its load is valid.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1_500);
+/// Longest pause that a server can ask for.
+const MAX_PAUSE: Duration = Duration::from_secs(60);
+/// How long after its pause a server is avoided, less and less, so that not all requests
+/// return to it at once.
+const RETURN_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of servers remembered that said that they leave and are no longer listed.
 const MAX_LEAVERS: usize = 1_000;
 /// Maximum number of cached prompt parts remembered per server.
@@ -111,6 +116,8 @@
     pub brittle: bool,
     /// Whether it said itself that it shuts down. Its directory entry may be older.
     said_leaving: bool,
+    /// Until when it wants no requests from this instance.
+    paused_until: Option<MonotonicTime>,
 }
 
 impl Server {
@@ -131,6 +138,7 @@
             denied_until: [MonotonicTime::ZERO; PRIORITY_CLASSES],
             brittle: false,
             said_leaving: false,
+            paused_until: None,
         }
     }
 
@@ -139,6 +147,19 @@
         self.info.leaving || self.said_leaving
     }
 
+    /// Until when the server wants no requests from this instance, if it wants none now.
+    pub fn paused_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
+        self.paused_until.filter(|until| now < *until)
+    }
+
+    /// Returns how much of the time after a pause is left in which the server is avoided, from
+    /// 0 to 1.
+    pub fn return_fraction(&self, now: MonotonicTime) -> f64 {
+        let Some(until) = self.paused_until else { return 0.0 };
+        let since = now.saturating_sub(until).as_secs_f64();
+        (1.0 - since / RETURN_TIME.as_secs_f64()).clamp(0.0, 1.0)
+    }
+
     /// Estimates the requests on the server, including those of other instances.
     pub fn load(&self, now: MonotonicTime) -> f64 {
         let own = f64::from(self.in_flight);
@@ -357,6 +378,15 @@
         true
     }
 
+    /// Records that a server wants no requests from this instance for some time. A shorter time
+    /// than the known one changes nothing.
+    pub fn pause(&mut self, id: &str, time: Duration, now: MonotonicTime) {
+        if let Some(server) = self.get_mut(id) {
+            let until = now + time.min(MAX_PAUSE);
+            server.paused_until = server.paused_until.max(Some(until));
+        }
+    }
+
     /// Records a request sent to a server with the prompt tokens it must process.
     pub fn request_sent(&mut self, id: &str, prefill_tokens: f64) {
         if let Some(server) = self.get_mut(id) {
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -27,6 +27,8 @@
 /// Penalty for a server that is unreachable or has probably shut down, in ms: large
 /// enough that it is chosen only if no other server remains.
 const UNREACHABLE_PENALTY_MS: f64 = 60_000.0;
+/// Penalty for a server right after a pause that it asked for, in ms. It falls to 0.
+const RETURN_PENALTY_MS: f64 = 500.0;
 /// Penalty for sending a request to another failure domain, in ms.
 const CROSS_DOMAIN_PENALTY_MS: f64 = 60.0;
 /// Minimum number of servers in the local domain at which home servers are chosen from
@@ -97,7 +99,7 @@
     NoServer,
     /// Every eligible server was already tried.
     AllTried,
-    /// Permits are denied for every eligible server, for one of them until the given time.
+    /// Every eligible server is paused or denies permits, one of them until the given time.
     Full(MonotonicTime),
 }
 
@@ -137,6 +139,7 @@
         let crosses_domain = server.info.domain != *request.domain;
         let cost = estimate_ms
             + FAILURE_PENALTY_MS * server.failure_rate(now)
+            + RETURN_PENALTY_MS * server.return_fraction(now)
             + if crosses_domain { CROSS_DOMAIN_PENALTY_MS } else { 0.0 }
             + if server.unreachable_since.is_some() || server.presumed_gone(now) {
                 UNREACHABLE_PENALTY_MS
@@ -159,14 +162,16 @@
     })
 }
 
-/// Returns until when no permit for a server can be had for this request, if that is so.
+/// Returns until when a server can't get this request, because it is paused or no permit can be
+/// had, if that is so.
 fn unavailable_until(
     server: &Server,
     request: &PlacementRequest,
     now: MonotonicTime,
 ) -> Option<MonotonicTime> {
     let may_not_ask = server.needs_permit() && !request.may_ask;
-    server.denied_until(request.priority, now).or(may_not_ask.then_some(now))
+    let denied = server.denied_until(request.priority, now).or(may_not_ask.then_some(now));
+    server.paused_until(now).max(denied)
 }
 
 /// A server with its estimated time and cost.
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -101,6 +101,67 @@
     assert_eq!(placed, Err(PlacementError::NoServer));
 }
 
+#[test]
+fn pause_server_gets_nothing_until_its_end() {
+    let mut fleet = fleet(2);
+    fleet.pause("s0", at(2_000), at(100));
+    for draw in 0..20 {
+        let placed = chosen(&fleet, &Query::default(), f64::from(draw) / 20.0, at(2_099));
+        assert_eq!(placed.as_deref(), Ok("s1"));
+    }
+    let later = |draw| chosen(&fleet, &Query::default(), f64::from(draw) / 20.0, at(3_200));
+    assert!((0..20).any(|draw| later(draw).as_deref() == Ok("s0")));
+}
+
+#[test]
+fn pause_ends_in_steps() {
+    let mut fleet = fleet(2);
+    fleet.pause("s0", at(1_000), at(0));
+    // The other server gets more work until the one that returns is worth its penalty.
+    let mut others = Vec::new();
+    for ms in [1_001, 1_500, 1_999] {
+        let before = fleet.get("s1").unwrap().in_flight;
+        while chosen(&fleet, &Query::default(), 0.5, at(ms)).as_deref() == Ok("s1") {
+            fleet.request_sent("s1", 0.0);
+        }
+        let added = fleet.get("s1").unwrap().in_flight - before;
+        for _ in 0..before + added {
+            fleet.request_ended("s1", Outcome::Success, at(ms));
+        }
+        others.push(added);
+    }
+    assert!(others[0] > others[1] && others[1] > others[2], "{others:?}");
+}
+
+#[test]
+fn pause_longer_time_wins() {
+    let mut fleet = fleet(1);
+    fleet.pause("s0", at(2_000), at(0));
+    fleet.pause("s0", at(500), at(100));
+    let placed = chosen(&fleet, &Query::default(), 0.5, at(1_000));
+    assert_eq!(placed, Err(PlacementError::Full(at(2_000))));
+    fleet.pause("s0", at(5_000), at(200));
+    let placed = chosen(&fleet, &Query::default(), 0.5, at(1_000));
+    assert_eq!(placed, Err(PlacementError::Full(at(5_200))));
+}
+
+#[test]
+fn pause_absurd_time_is_bounded() {
+    let mut fleet = fleet(1);
+    fleet.pause("s0", Duration::MAX, at(0));
+    let placed = chosen(&fleet, &Query::default(), 0.5, at(1));
+    assert_eq!(placed, Err(PlacementError::Full(at(60_000))));
+}
+
+#[test]
+fn pause_of_all_ends_with_the_first() {
+    let mut fleet = fleet(2);
+    fleet.pause("s0", at(3_000), at(0));
+    fleet.pause("s1", at(2_000), at(0));
+    let placed = chosen(&fleet, &Query::default(), 0.5, at(10));
+    assert_eq!(placed, Err(PlacementError::Full(at(2_000))));
+}
+
 #[test]
 fn place_excluded_version_gets_nothing() {
     let mut fleet = fleet(1);
--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -36,6 +36,9 @@
 pub enum SiteFault {
     /// Answers 503 with `x-not-executed`, and does not execute the request.
     Reject,
+    /// Answers 503 with `x-not-executed` and a `retry-after` of so many milliseconds, and does
+    /// not execute the request.
+    RejectFor(u64),
     /// Executes the request and closes the connection without a response.
     Reset,
     /// Executes the request and answers with the id of another request.
@@ -310,7 +313,8 @@
         };
         let fault = if fails { Some(SiteFault::Fail) } else { self.next_fault() };
         let misdirected = expected.is_some_and(|expected| expected != server);
-        let executed = !misdirected && fault != Some(SiteFault::Reject);
+        let rejects = matches!(fault, Some(SiteFault::Reject | SiteFault::RejectFor(_)));
+        let executed = !misdirected && !rejects;
         let request_line = format!("{} {}", request.method(), request.uri());
         let headers = request.headers().clone();
         let body = read_body(request).await?;
@@ -337,6 +341,12 @@
         }
         match fault {
             Some(SiteFault::Reject) => rejection(&server, &id),
+            Some(SiteFault::RejectFor(ms)) => {
+                let mut response = rejection(&server, &id)?;
+                let seconds = (ms as f64 / 1e3).to_string();
+                response.headers_mut().insert("retry-after", seconds.parse().ok()?);
+                Some(response)
+            }
             Some(SiteFault::Reset) => None,
             Some(SiteFault::Hang) => std::future::pending().await,
             Some(SiteFault::Fail) => Some(reply(500, &server, &id, true, full_body("failed"))),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,8 @@
     pub permits: Family<Reason, Counter>,
     /// Rate limits in answers of servers that could not be read.
     pub invalid_rate_limits: Counter,
+    /// Pauses that servers asked for.
+    pub pauses: Counter,
     /// Answers in which what the server says of itself can't be read.
     pub invalid_notices: Counter,
     /// Sessions told to other instances, counted for each of them.
@@ -109,6 +111,7 @@
             limited_servers: Gauge::default(),
             permits: Family::default(),
             invalid_rate_limits: Counter::default(),
+            pauses: Counter::default(),
             invalid_notices: Counter::default(),
             sessions_told: Counter::default(),
             sessions_dropped: Counter::default(),
@@ -168,6 +171,8 @@
         registry.register("permits", "Permits asked for, by answer", permits);
         let invalid = self.invalid_rate_limits.clone();
         registry.register("invalid_rate_limits", "Rate limits that are no number", invalid);
+        let pauses = self.pauses.clone();
+        registry.register("server_pauses", "Pauses that servers asked for", pauses);
         let notices = self.invalid_notices.clone();
         registry.register("invalid_notices", "Notices of servers that can't be read", notices);
         let told = self.sessions_told.clone();
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -61,7 +61,9 @@
     pub report: Option<LoadReport>,
     /// Whether the server says that it shuts down.
     pub leaving: bool,
-    /// Whether what the server says about this can't be read.
+    /// How long a server that rejected the request wants no more from this instance.
+    pub pause: Option<Duration>,
+    /// Whether what the server says about either can't be read.
     pub invalid_notice: bool,
     /// Whether the server says that it is brittle: having to reject requests makes it crash.
     pub brittle: bool,
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -21,7 +21,7 @@
 //!   its connections open without answering.
 //! - `fault ID KIND [N]` queues a fault for the next request, `always ID KIND [N]` sets one
 //!   for all requests, `always ID none` removes it. `KIND` is one of `reject`, `reset`,
-//!   `other-id`, `cut`, `fail`, `hang`, `unsealed`, `unsure`, `slow`, and for streams `cut-after`,
+//!   `reject-for` (with a time of `N` ms to come back), `other-id`, `cut`, `fail`, `hang`, `unsealed`, `unsure`, `slow`, and for streams `cut-after`,
 //!   `torn-after` and `silent-after`, which apply after event `N` (2 if not given); see
 //!   [`SiteFault`].
 //!
@@ -880,9 +880,10 @@
 /// Parses the fault of a `fault` or `always` step; `count` is the event after which a stream
 /// fault applies.
 fn parse_fault(kind: &str, count: Option<&&str>) -> Result<SiteFault> {
-    let count = count.and_then(|count| count.parse().ok()).unwrap_or(2);
+    let count: u64 = count.and_then(|count| count.parse().ok()).unwrap_or(2);
     Ok(match kind {
         "reject" => SiteFault::Reject,
+        "reject-for" => SiteFault::RejectFor(count),
         "reset" => SiteFault::Reset,
         "other-id" => SiteFault::WrongId,
         "cut" => SiteFault::Cut,
