As a canary starts, sessions that are not known wait for reports of them

Cause: telling of sessions at once makes the window short, not empty. 30 requests, all 2.05 to 2.21 s after the order, followed others of their sessions by 0.15 s, less than the three hops took on the busy machine. Whatever the moment of the change, sessions that straddle it within the time of the reports can't be told from new ones.

Change: for 0.8 s after the start of the canary, a request whose session is unknown and in the canary waits until it is known, at most 0.3 s. What ran before it elsewhere was reported before it arrived, so it is known by then; what is not known is new.

--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -18,6 +18,9 @@
 /// Delay from the order to the start of the canary. By then the instances have
 /// exchanged which sessions run on the old version.
 const CANARY_DELAY: Duration = Duration::from_millis(1_500);
+/// How long after the start of the canary there may be sessions that ran on the old version
+/// elsewhere and are not known here yet.
+const SETTLING_TIME: Duration = Duration::from_millis(800);
 /// Fraction of the duration after which requests start to shift.
 const SHIFT_START: f64 = 0.52;
 /// Fraction of the duration after which all requests have shifted.
@@ -252,6 +255,21 @@
         }
     }
 
+    /// Whether the version of a session is to be decided only when reports that are on their way
+    /// have arrived: it is new here, and the canary has just started.
+    pub fn is_settling(
+        &self,
+        position: f64,
+        last_version: Option<&Name>,
+        now: MonotonicTime,
+    ) -> bool {
+        self.state == RolloutState::InProgress
+            && last_version.is_none()
+            && in_canary(position)
+            && self.phase(now) == Phase::Canary
+            && self.age(now) < CANARY_DELAY + SETTLING_TIME
+    }
+
     /// Returns the next action, given the combined counts of all instances.
     pub fn decide(&self, stats: &RolloutStats, now: MonotonicTime) -> Decision {
         if self.state != RolloutState::InProgress {
--- a/crates/dispatch/tests/rollouts.rs
+++ b/crates/dispatch/tests/rollouts.rs
@@ -47,6 +47,18 @@
     }
 }
 
+#[test]
+fn is_settling_only_unknown_sessions_of_the_canary_as_it_starts() {
+    let mut rollout = rollout();
+    assert!(!rollout.is_settling(0.0, None, at(1_400)));
+    assert!(rollout.is_settling(0.0, None, at(1_600)));
+    assert!(!rollout.is_settling(0.0, Some(&"v1".into()), at(1_600)));
+    assert!(!rollout.is_settling(0.5, None, at(1_600)));
+    assert!(!rollout.is_settling(0.0, None, at(2_500)));
+    rollout.state = RolloutState::RolledBack;
+    assert!(!rollout.is_settling(0.0, None, at(1_600)));
+}
+
 #[test]
 fn side_session_of_old_version_stays_in_first_half() {
     let rollout = rollout();
--- a/crates/dispatch/tests/session_outbox.rs
+++ b/crates/dispatch/tests/session_outbox.rs
@@ -46,8 +46,10 @@
     session: u64,
     requests_left: u32,
     next_at: Duration,
-    /// The version and the instance of its last request.
-    last: Option<(Side, usize)>,
+    /// The version of its last request.
+    last: Option<Side>,
+    /// Where its next request waits, if it does, and until when at most.
+    waiting: Option<(usize, Duration)>,
 }
 
 /// A message on its way.
@@ -73,7 +75,9 @@
     rollouts: Vec<Rollout>,
 }
 
-const PAUSE: Duration = Duration::from_millis(40);
+const PAUSE: Duration = Duration::from_millis(25);
+/// How long a request of an unknown session waits while the canary starts.
+const SETTLING: Duration = Duration::from_millis(300);
 const TTL: Duration = Duration::from_millis(8_500);
 
 impl Installation {
@@ -169,6 +173,12 @@
         }
     }
 
+    fn is_settling(&self, session: u64, instance: usize, now: Duration) -> bool {
+        let known = self.sessions[instance].version(session, now);
+        now >= self.rollouts[instance].order.started_at
+            && self.rollouts[instance].is_settling(0.0, known, now)
+    }
+
     /// Handles a request of a session; returns the version that it runs on.
     fn handle(&mut self, session: u64, instance: usize, now: Duration) -> Side {
         let known = self.sessions[instance].version(session, now);
@@ -190,7 +200,7 @@
             next_session += 1;
             let requests_left = rng.random_range(2..8);
             let next_at = now + Duration::from_millis(rng.random_range(0..1_000));
-            Caller { session: next_session, requests_left, next_at, last: None }
+            Caller { session: next_session, requests_left, next_at, last: None, waiting: None }
         };
         let mut all: Vec<Caller> =
             (0..callers).map(|_| new_caller(&mut self.rng, Duration::ZERO)).collect();
@@ -203,10 +213,15 @@
                 if caller.next_at > now {
                     continue;
                 }
-                let instance = self.rng.random_range(0..self.sessions.len());
+                let arrival = (self.rng.random_range(0..self.sessions.len()), now + SETTLING);
+                let (instance, wait_until) = *caller.waiting.get_or_insert(arrival);
+                if now < wait_until && self.is_settling(caller.session, instance, now) {
+                    continue;
+                }
+                caller.waiting = None;
                 let side = self.handle(caller.session, instance, now);
-                changes += usize::from(caller.last.is_some_and(|(last, _)| last != side));
-                caller.last = Some((side, instance));
+                changes += usize::from(caller.last.is_some_and(|last| last != side));
+                caller.last = Some(side);
                 caller.requests_left -= 1;
                 // Most callers go on at once, some after seconds.
                 let pause = if self.rng.random_bool(0.7) { 50..800 } else { 800..7_000 };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -280,6 +280,9 @@
             Metrics::count(&gateway.metrics.retries, "no_budget");
             return Err(Rejection::new(Kind::Overloaded, TRANSIENT_RETRY_AFTER));
         }
+        if let Some(session) = self.request.session.filter(|_| !retry) {
+            gateway.settle_session(&self.service, session).await;
+        }
         let mut permit_requests = 0;
         let (placement, permit) = loop {
             let placed = self.place(progress, permit_requests < MAX_PERMIT_REQUESTS);
--- a/crates/gateway/src/session_sharing.rs
+++ b/crates/gateway/src/session_sharing.rs
@@ -16,7 +16,11 @@
 
 /// Pause between two messages, so that the sessions of one moment are told together. A session
 /// reaches all instances within three of them.
-const SHARING_PAUSE: Duration = Duration::from_millis(40);
+const SHARING_PAUSE: Duration = Duration::from_millis(25);
+/// Time in which a session reaches all instances, unless datagrams are lost.
+const SHARING_TIME: Duration = Duration::from_millis(300);
+/// Interval at which a request looks whether its session has become known.
+const SETTLING_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which repeated and open sessions are looked for.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Maximum number of sessions in one datagram, which then fits into one network packet.
@@ -50,6 +54,23 @@
         }
     }
 
+    /// Waits until it is known on which version a session ran, if the canary has just started and
+    /// reports of it may be on their way.
+    pub(crate) async fn settle_session(&self, service: &Name, session: u64) {
+        let until = self.now() + SHARING_TIME;
+        while self.now() < until && self.is_session_settling(service, session) {
+            tokio::time::sleep(SETTLING_POLL_INTERVAL).await;
+        }
+    }
+
+    fn is_session_settling(&self, service: &Name, session: u64) -> bool {
+        let rollouts = self.rollouts.borrow();
+        let Some(tracked) = rollouts.get(service) else { return false };
+        let now = self.now();
+        let sessions = self.sessions.borrow();
+        tracked.rollout.is_settling(hash_unit(session), sessions.version(session, now), now)
+    }
+
     /// Takes the sessions of the canary that were not told yet.
     fn take_sessions(&self) -> Vec<(u64, Name)> {
         let mut sessions = self.sessions.borrow_mut().take_pending(self.now());
