Servers of a new version wait until a rollout to them can be known

Cause: orders and servers are rows of two tables, which an instance follows apart.

Change: a version that is first seen while servers of an older one are there gets no requests for 2 s, unless a rollout says so. Versions that an instance finds when it starts are not new, and the only version that is left serves at once.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -27,6 +27,11 @@
 const PART_CACHE_TTL: Duration = Duration::from_secs(20);
 /// How long a peer's report of its load is valid.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1_500);
+/// How long servers of a version that is new get no requests while others are there, unless a
+/// rollout says so: the order may arrive after their entries.
+const UNKNOWN_VERSION_TIME: Duration = Duration::from_secs(2);
+/// Time in which an instance that starts sees all versions that are listed.
+const TABLE_LOAD_TIME: Duration = Duration::from_millis(500);
 /// Longest pause that a server can ask for.
 const MAX_PAUSE: Duration = Duration::from_secs(60);
 /// How long after its pause a server is avoided, less and less, so that not all requests
@@ -281,6 +286,8 @@
     positions: HashMap<Name, usize>,
     /// Indices into `servers`, by service.
     services: HashMap<Name, Vec<usize>>,
+    /// When versions were first seen, by service.
+    versions: HashMap<Name, Vec<(Name, MonotonicTime)>>,
     /// Start times of the servers that said that they leave, by id, also of those that are no
     /// longer listed: an older entry may be listed again.
     leavers: HashMap<Name, u64>,
@@ -310,6 +317,38 @@
         }
     }
 
+    /// Records that a version of a service is listed.
+    pub fn note_version(&mut self, service: &Name, version: &Name, now: MonotonicTime) {
+        let versions = self.versions.entry(service.clone()).or_default();
+        if versions.iter().all(|(known, _)| known != version) {
+            let listed = self.services.get(service).into_iter().flatten();
+            let listed: Vec<&Server> =
+                listed.filter_map(|position| self.servers.get(*position)).collect();
+            versions.retain(|(known, _)| listed.iter().any(|server| server.info.version == *known));
+            versions.push((version.clone(), now));
+        }
+    }
+
+    /// Returns the versions of a service that were first seen lately, while an older one has
+    /// servers: a rollout to them may have been ordered and not be known yet.
+    pub fn unknown_versions(&self, service: &str, now: MonotonicTime) -> Vec<Name> {
+        let Some(versions) = self.versions.get(service) else { return Vec::new() };
+        let Some(first_seen) = versions.iter().map(|(_, seen_at)| *seen_at).min() else {
+            return Vec::new();
+        };
+        let (unknown, known): (Vec<_>, Vec<_>) = versions.iter().partition(|(_, seen_at)| {
+            *seen_at >= first_seen + TABLE_LOAD_TIME
+                && now.saturating_sub(*seen_at) < UNKNOWN_VERSION_TIME
+        });
+        let serves = |server: &Server| {
+            !server.is_leaving() && known.iter().any(|(version, _)| *version == server.info.version)
+        };
+        match unknown.is_empty() || !self.servers_of(service).any(serves) {
+            true => Vec::new(),
+            false => unknown.into_iter().map(|(version, _)| version.clone()).collect(),
+        }
+    }
+
     /// Removes a server; returns whether it was known.
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(position) = self.positions.remove(id) else { return false };
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -162,6 +162,41 @@
     assert_eq!(placed, Err(PlacementError::Full(at(2_000))));
 }
 
+#[test]
+fn unknown_versions_only_new_ones_beside_older_ones() {
+    let mut fleet = fleet(1);
+    let note = |fleet: &mut Fleet, version: &str, ms| {
+        fleet.note_version(&"desk".into(), &version.into(), at(ms));
+    };
+    note(&mut fleet, "v1", 0);
+    assert!(fleet.unknown_versions("desk", at(100)).is_empty());
+    note(&mut fleet, "v2", 5_000);
+    fleet.update(info("new", "z1", "v2"));
+    assert_eq!(fleet.unknown_versions("desk", at(6_900)), ["v2".into()]);
+    assert!(fleet.unknown_versions("desk", at(7_000)).is_empty());
+    assert!(fleet.unknown_versions("other", at(6_000)).is_empty());
+}
+
+#[test]
+fn unknown_versions_of_an_instance_that_starts_are_none() {
+    let mut fleet = fleet(1);
+    fleet.update(info("new", "z1", "v2"));
+    for version in ["v1", "v2"] {
+        fleet.note_version(&"desk".into(), &version.into(), at(50));
+    }
+    assert!((0..5_000).step_by(100).all(|ms| fleet.unknown_versions("desk", at(ms)).is_empty()));
+}
+
+#[test]
+fn unknown_versions_serve_if_the_older_ones_leave() {
+    let mut fleet = fleet(1);
+    fleet.note_version(&"desk".into(), &"v1".into(), at(0));
+    fleet.note_version(&"desk".into(), &"v2".into(), at(5_000));
+    fleet.update(info("new", "z1", "v2"));
+    fleet.announce_leaving("s0");
+    assert!(fleet.unknown_versions("desk", at(5_500)).is_empty());
+}
+
 #[test]
 fn place_excluded_version_gets_nothing() {
     let mut fleet = fleet(1);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -346,14 +346,14 @@
         let gateway = &self.gateway;
         let now = gateway.now();
         let (version, excluded) = match gateway.rollout_side(&self.service, self.request.session) {
-            Some((Side::New, new)) => (Some(new), None),
-            Some((Side::Old, new)) => (None, Some(new)),
-            None => (None, None),
+            Some((Side::New, new)) => (Some(new), Vec::new()),
+            Some((Side::Old, new)) => (None, vec![new]),
+            None => (None, gateway.fleet.borrow().unknown_versions(&self.service, now)),
         };
         let mut wanted = PlacementRequest {
             service: &self.service,
             version: version.as_ref(),
-            excluded_versions: excluded.as_slice(),
+            excluded_versions: &excluded,
             domain: &gateway.settings.domain,
             model: self.model(progress),
             work_factor: Cascade::work_factor(progress.model_index, self.route.models.len()),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -355,6 +355,7 @@
             });
             self.event_log.write("server_listed", self.now(), || fields);
         }
+        fleet.note_version(&info.service, &info.version, self.now());
         fleet.update(info);
         self.metrics.servers.set(fleet.ids().count() as i64);
     }
