Revisions of the store are compared with their era

Operators: a rollout that was rolled back, and no state of it in the store.

Cause: revisions were compared by their number, which the store gives out again. A row that is written at a number that an instance has already seen was never read.

Class: a counter that is taken for time, while its source can go back.

All comparisons, the messages between instances and the fetches stay as they are, and with era 0, as the header is absent, so do their bytes. Responses of an earlier era are dropped, tables are read whole in a new one, by their reader. A server's word that it leaves is final for its incarnation. The known order of a rollout keeps its state when it is written again; states, blocked parts and members are stored again.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -119,8 +119,10 @@
     denied_until: [MonotonicTime; PRIORITY_CLASSES],
     /// Whether it is brittle: having to reject requests makes it crash.
     pub brittle: bool,
-    /// Whether it said itself that it shuts down. Its directory entry may be older.
+    /// Whether it said that it shuts down, itself or in an entry; a later entry may be older.
     said_leaving: bool,
+    /// Whether another server answered at its address.
+    displaced: bool,
     /// Until when it wants no requests from this instance.
     paused_until: Option<MonotonicTime>,
 }
@@ -143,13 +145,14 @@
             denied_until: [MonotonicTime::ZERO; PRIORITY_CLASSES],
             brittle: false,
             said_leaving: false,
+            displaced: false,
             paused_until: None,
         }
     }
 
     /// Whether the server shuts down and must get no new requests.
     pub fn is_leaving(&self) -> bool {
-        self.info.leaving || self.said_leaving
+        self.info.leaving || self.said_leaving || self.displaced
     }
 
     /// Until when the server wants no requests from this instance, if it wants none now.
@@ -298,6 +301,9 @@
     ///
     /// A new incarnation under an existing id starts with empty state.
     pub fn update(&mut self, info: ServerInfo) {
+        if info.leaving {
+            self.remember_leaver(&info.id, info.started_at_ms);
+        }
         let said_leaving = self.leavers.get(&info.id) == Some(&info.started_at_ms);
         if self.get(&info.id).is_some_and(|known| known.info.service != info.service) {
             self.remove(&info.id);
@@ -306,6 +312,8 @@
             Some(server) if server.info.started_at_ms == info.started_at_ms => {
                 server.info = info;
                 server.expired_at = None;
+                server.displaced = false;
+                server.said_leaving |= said_leaving;
             }
             Some(server) => *server = Server { said_leaving, ..Server::new(info) },
             None => {
@@ -394,11 +402,11 @@
         }
     }
 
-    /// Marks a server as leaving, because it announced its shutdown or because its
-    /// address turned out to belong to another server.
-    pub fn mark_leaving(&mut self, id: &str) {
+    /// Records that the address of a server belongs to another one. This holds until its entry
+    /// is written again.
+    pub fn mark_displaced(&mut self, id: &str) {
         if let Some(server) = self.get_mut(id) {
-            server.info.leaving = true;
+            server.displaced = true;
         }
     }
 
@@ -409,12 +417,16 @@
         };
         server.said_leaving = true;
         let (id, started_at_ms) = (server.info.id.clone(), server.info.started_at_ms);
+        self.remember_leaver(&id, started_at_ms);
+        true
+    }
+
+    fn remember_leaver(&mut self, id: &Name, started_at_ms: u64) {
         if self.leavers.len() >= MAX_LEAVERS {
             let positions = &self.positions;
             self.leavers.retain(|id, _| positions.contains_key(id));
         }
-        self.leavers.insert(id, started_at_ms);
-        true
+        self.leavers.insert(id.clone(), started_at_ms);
     }
 
     /// Records that a server wants no requests from this instance for some time. A shorter time
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -63,9 +63,9 @@
 }
 
 #[test]
-fn place_leaving_server_gets_nothing() {
+fn place_displaced_server_gets_nothing() {
     let mut fleet = fleet(2);
-    fleet.mark_leaving("s0");
+    fleet.mark_displaced("s0");
     for draw in 0..20 {
         let placed = chosen(&fleet, &Query::default(), f64::from(draw) / 20.0, at(0));
         assert_eq!(placed.as_deref(), Ok("s1"));
--- a/crates/fakes/src/site_store.rs
+++ b/crates/fakes/src/site_store.rs
@@ -46,6 +46,10 @@
 
 #[derive(Default)]
 struct Tables {
+    /// Rises each time that the store comes back from an older copy.
+    era: u64,
+    /// The copy: the revision and the rows.
+    copy: (u64, BTreeMap<(String, String), Row>),
     /// The revision of the last write.
     revision: u64,
     /// The oldest revision that a feed can start from.
@@ -58,6 +62,7 @@
     open_feeds: HashMap<String, usize>,
 }
 
+#[derive(Clone)]
 struct Row {
     /// `None` once the row is deleted; a feed reports the deletion.
     value: Option<Vec<u8>>,
@@ -105,6 +110,22 @@
         tables.compacted_revision = tables.revision;
     }
 
+    /// Keeps a copy of all rows for [`SiteStore::revert`].
+    pub fn take_copy(&self) {
+        let mut tables = self.state.tables.lock().unwrap();
+        tables.copy = (tables.revision, tables.rows.clone());
+    }
+
+    /// Comes back from the copy: what was written since is lost, and revisions are given out
+    /// again.
+    pub fn revert(&self) {
+        let mut tables = self.state.tables.lock().unwrap();
+        tables.era += 1;
+        (tables.revision, tables.rows) = tables.copy.clone();
+        drop(tables);
+        self.close_connections();
+    }
+
     /// Changes the injected faults.
     pub fn set_faults(&self, change: impl FnOnce(&mut SiteStoreFaults)) {
         change(&mut self.state.faults.lock().unwrap());
@@ -134,6 +155,17 @@
 
 impl Handler for State {
     async fn handle(&self, request: Request<Incoming>) -> Option<Response<ResponseBody>> {
+        let mut response = self.respond(request).await?;
+        let era = self.tables.lock().unwrap().era;
+        if era > 0 {
+            response.headers_mut().insert("store-era", era.into());
+        }
+        Some(response)
+    }
+}
+
+impl State {
+    async fn respond(&self, request: Request<Incoming>) -> Option<Response<ResponseBody>> {
         let path = request.uri().path().to_owned();
         *self.tables.lock().unwrap().calls.entry(path.clone()).or_default() += 1;
         let faults = self.faults.lock().unwrap().clone();
@@ -160,9 +192,7 @@
             _ => Some(json_response(404, &json!({}))),
         }
     }
-}
 
-impl State {
     fn set(&self, table: &str, key: &str, value: Option<Vec<u8>>) {
         let mut tables = self.tables.lock().unwrap();
         tables.revision += 1;
@@ -208,7 +238,7 @@
     /// `None` if there are no changes yet.
     fn changes_since(&self, table: &str, since: u64) -> Option<Response<ResponseBody>> {
         let tables = self.tables.lock().unwrap();
-        if since < tables.compacted_revision {
+        if since < tables.compacted_revision || since > tables.revision {
             return Some(json_response(410, &json!({})));
         }
         let changed =
--- a/crates/gateway/src/blame.rs
+++ b/crates/gateway/src/blame.rs
@@ -50,9 +50,15 @@
     store: impl BlockedParts,
 ) {
     let mut stored = None;
+    let mut era = 0;
     loop {
         tokio::time::sleep(STORE_INTERVAL).await;
         let Some(position) = gateway.hub_position.get() else { continue };
+        if peers.store_era() > era {
+            // What was stored may be lost.
+            era = peers.store_era();
+            stored = None;
+        }
         match &mut stored {
             None => stored = load_blocked_parts(&gateway, &store).await,
             Some(stored) => {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -18,6 +18,7 @@
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
+use crate::revision::{era, number};
 use crate::table::{Row, TableCopy, TableDelta};
 use crate::tables::{Follower, Page, StoreError, Tables};
 use crate::updates::{KnownRevision, ReceivedUpdate, TableUpdate, UpdateEffect, split_updates};
@@ -254,9 +255,14 @@
                 return false;
             }
         };
-        let outage = self.call_succeeded();
+        let mut outage = self.call_succeeded();
         let now = self.gateway.now();
         let known = KnownRevision { revision: page.revision, changed: page.revision };
+        if self.record_era(page.revision) {
+            // The servers' entries are written again, as after an outage.
+            self.health.recovered_at = Some(now);
+            outage = true;
+        }
         self.log_loaded("store", page.revision, page.rows.len());
         self.replace(page.rows, known, outage).await;
         self.confirm(now);
@@ -270,9 +276,27 @@
         true
     }
 
+    /// Logs that the store came back from an older copy, if a new revision shows it; returns
+    /// whether it does.
+    fn record_era(&self, new: u64) -> bool {
+        let known = self.known().revision;
+        if known == 0 || era(new) <= era(known) {
+            return false;
+        }
+        let fields = json!({
+            "table": self.table,
+            "era": era(new),
+            "revision": number(new),
+            "known_era": era(known),
+            "known_revision": number(known),
+        });
+        log_event("store_reverted", self.gateway.now(), fields);
+        self.gateway.metrics.store_era.set(era(new) as i64);
+        true
+    }
+
     fn log_loaded(&self, source: &str, revision: u64, rows: usize) {
-        let fields =
-            json!({ "table": self.table, "source": source, "revision": revision, "rows": rows });
+        let fields = json!({ "table": self.table, "source": source, "revision": number(revision), "era": era(revision), "rows": rows });
         log_event("table_loaded", self.gateway.now(), fields);
     }
 
@@ -329,6 +353,7 @@
         if known.revision <= self.known().revision {
             return;
         }
+        self.record_era(known.revision);
         if unsettled {
             self.health.recovered_at = Some(self.gateway.now());
         }
@@ -582,7 +607,7 @@
             "table": self.table,
             "why": reason.to_string(),
             "pending_ms": pending.as_millis() as u64,
-            "revision": self.known().revision,
+            "revision": number(self.known().revision),
         });
         log_event("store_lost", now, fields);
     }
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dispatch::MonotonicTime;
 use members::Member;
 use serde_json::json;
 
@@ -99,18 +100,27 @@
 /// and greets listed ones that it does not know.
 async fn keep_directory<D>(gateway: &Gateway<D>, peers: &Peers, directory: &impl MemberDirectory) {
     let mut was_hub = false;
+    // When the list was read last, and in which era of the store.
+    let mut last_read: Option<(MonotonicTime, u64)> = None;
     loop {
         tokio::time::sleep(HUB_POLL_INTERVAL).await;
-        let is_hub = peers.is_hub(gateway.now());
+        let now = gateway.now();
+        let is_hub = peers.is_hub(now);
         if !(is_hub && was_hub) {
-            was_hub = is_hub;
+            (was_hub, last_read) = (is_hub, None);
             continue;
         }
-        if let Err(error) = update_directory(gateway, peers, directory).await {
-            log::debug!("cannot update the member directory: {error}");
+        let era = peers.store_era();
+        let is_current = last_read.is_some_and(|(at, known_era)| {
+            known_era == era && now.saturating_sub(at) < LIST_INTERVAL
+        });
+        if is_current {
             continue;
         }
-        tokio::time::sleep(LIST_INTERVAL).await;
+        match update_directory(gateway, peers, directory).await {
+            Ok(()) => last_read = Some((now, era)),
+            Err(error) => log::debug!("cannot update the member directory: {error}"),
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod permits;
 mod rate_limits;
 mod reachability;
+pub mod revision;
 mod rollouts;
 mod send;
 mod session_sharing;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -75,6 +75,8 @@
     pub permits: Family<Reason, Counter>,
     /// Rate limits in answers of servers that could not be read.
     pub invalid_rate_limits: Counter,
+    /// Era of the store, if it has changed.
+    pub store_era: Gauge,
     /// Pauses that servers asked for.
     pub pauses: Counter,
     /// Answers in which what the server says of itself can't be read.
@@ -111,6 +113,7 @@
             limited_servers: Gauge::default(),
             permits: Family::default(),
             invalid_rate_limits: Counter::default(),
+            store_era: Gauge::default(),
             pauses: Counter::default(),
             invalid_notices: Counter::default(),
             sessions_told: Counter::default(),
@@ -171,6 +174,8 @@
         registry.register("permits", "Permits asked for, by answer", permits);
         let invalid = self.invalid_rate_limits.clone();
         registry.register("invalid_rate_limits", "Rate limits that are no number", invalid);
+        let era = self.store_era.clone();
+        registry.register("store_era", "Era of the store once it has changed", era);
         let pauses = self.pauses.clone();
         registry.register("server_pauses", "Pauses that servers asked for", pauses);
         let notices = self.invalid_notices.clone();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -25,6 +25,7 @@
 use crate::packed::{MAX_DATAGRAM, MAX_UNFRAGMENTED, pack_datagram, unpack};
 use crate::permits::{PermitDesk, PermitRelease, PermitReply, PermitRequest};
 use crate::rate_limits::RateReport;
+use crate::revision::era;
 use crate::rollouts::Coverage;
 use crate::session_sharing::SessionOutboxes;
 use crate::table::TableCopy;
@@ -182,6 +183,12 @@
         self.incarnation
     }
 
+    /// The latest era of the store that a table is known from.
+    pub(crate) fn store_era(&self) -> u64 {
+        let tables = self.tables.borrow();
+        tables.values().map(|copy| era(copy.known.revision)).max().unwrap_or_default()
+    }
+
     /// Gives access to the membership.
     pub(crate) fn membership(&self) -> std::cell::RefMut<'_, Membership> {
         self.membership.borrow_mut()
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -17,6 +17,7 @@
 use crate::event_log::log_event;
 use crate::gateway::Gateway;
 use crate::peers::Peers;
+use crate::revision::{era, number};
 
 /// Interval at which rollouts in progress are evaluated.
 const DECIDE_INTERVAL: Duration = Duration::from_millis(200);
@@ -376,9 +377,25 @@
     /// Starts the rollout of an order, unless a newer one is known.
     pub fn start_rollout(&self, order: RolloutOrder) {
         let mut rollouts = self.rollouts.borrow_mut();
-        let known = rollouts.get(&order.service).map(|tracked| tracked.rollout.order.revision);
-        if known.is_some_and(|revision| revision >= order.revision) {
-            return;
+        if let Some(tracked) = rollouts.get_mut(&order.service) {
+            let known = &mut tracked.rollout.order;
+            if known.revision >= order.revision {
+                return;
+            }
+            if era(order.revision) > era(known.revision) {
+                if known.to == order.to {
+                    // The known order, written or read again. What was stored of it may be lost.
+                    known.revision = order.revision;
+                    tracked.start_stored = false;
+                    tracked.final_state_stored = false;
+                    tracked.decided_at = None;
+                    return;
+                }
+                // The order before the known one.
+                if number(order.revision) < number(known.revision) {
+                    return;
+                }
+            }
         }
         let fields = json!({
             "service": &*order.service,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -386,7 +386,7 @@
             self.gateway.observe_notices(&target.server, &info);
         }
         if info.misdirected {
-            self.gateway.fleet.borrow_mut().mark_leaving(&target.server);
+            self.gateway.fleet.borrow_mut().mark_displaced(&target.server);
             return SendResult::NotRun("other_server");
         }
         if info.not_run {
--- a/crates/gateway/tests/table.rs
+++ b/crates/gateway/tests/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use gateway::revision::{self, revision};
 use gateway::{KnownRevision, Row, TableCopy};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -109,3 +110,65 @@
         }
     }
 }
+
+/// A copy that follows a store, which comes back from older copies, and the rows of the store.
+fn copy_across_eras(rng: &mut ChaCha8Rng, steps: u32) -> (TableCopy, BTreeMap<String, Row>) {
+    let mut copy = TableCopy::default();
+    let mut rows: BTreeMap<String, Row> = BTreeMap::new();
+    let mut backup = (0, rows.clone());
+    let (mut era, mut number) = (0, 0);
+    for _ in 0..steps {
+        match rng.random_range(0..8) {
+            0 => backup = (number, rows.clone()),
+            1 => {
+                era += rng.random_range(1..3);
+                (number, rows) = backup.clone();
+                rows.values_mut().for_each(|row| row.revision = revision(era, row.revision));
+                let all: Vec<Row> =
+                    rows.values().filter(|row| row.value.is_some()).cloned().collect();
+                copy.replace(&all, known(revision(era, number)));
+                rows.values_mut().for_each(|row| row.revision = revision::number(row.revision));
+            }
+            _ => {
+                number += 1;
+                let key = format!("k{}", rng.random_range(0..6));
+                let value = rng.random_bool(0.7).then(|| vec![rng.random()]);
+                let row = Row { key: key.clone(), value, revision: number };
+                rows.insert(key, row.clone());
+                let row = Row { revision: revision(era, number), ..row };
+                copy.change(&[row], revision(era, number));
+            }
+        }
+    }
+    (copy, rows)
+}
+
+#[test]
+fn since_any_revision_of_an_earlier_era_brings_up_to_date() {
+    for seed in 0..300 {
+        let steps = ChaCha8Rng::seed_from_u64(seed).random_range(1..60);
+        let (mut behind, _) = copy_across_eras(&mut ChaCha8Rng::seed_from_u64(seed), steps / 2);
+        let (ahead, rows) = copy_across_eras(&mut ChaCha8Rng::seed_from_u64(seed), steps);
+        let delta = ahead.since(behind.known.revision, false);
+        if delta.known.revision > behind.known.revision {
+            match delta.complete {
+                true => behind.replace(&delta.rows, delta.known),
+                false => behind.change(&delta.rows, delta.known.revision),
+            }
+        }
+        let values = |rows: &[Row]| -> BTreeMap<String, Option<Vec<u8>>> {
+            let live = rows.iter().filter(|row| row.value.is_some());
+            live.map(|row| (row.key.clone(), row.value.clone())).collect()
+        };
+        let found = values(&behind.since(0, false).rows);
+        assert_eq!(found, values(&rows.into_values().collect::<Vec<_>>()), "seed {seed}");
+    }
+}
+
+#[test]
+fn revision_of_a_later_era_is_greater() {
+    assert!(revision(1, 3) > revision(0, 9_000_000));
+    assert_eq!((revision::era(revision(7, 42)), revision::number(revision(7, 42))), (7, 42));
+    assert_eq!(revision(0, 42), 42);
+    assert_eq!(revision::number(revision(1, u64::MAX)), (1 << 40) - 1);
+}
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -51,6 +51,7 @@
 //!
 //! - `store out|silent|back|lose-reply|compact|break` makes the store fail, hang or recover,
 //!   leave the next write unanswered, discard its history, or close its connections.
+//! - `store copy|revert` keeps a copy of all rows, and comes back from it in a new era.
 //! - `feeds TABLE N` waits until `N` feeds of a table are open; `calls PATH MOST` checks
 //!   that the store has received at most so many calls to a path, `calls-reset` counts
 //!   from here on.
@@ -557,6 +558,8 @@
             }
             "lose-reply" => self.store.set_faults(|faults| faults.lose_replies += 1),
             "compact" => self.store.compact(),
+            "copy" => self.store.take_copy(),
+            "revert" => self.store.revert(),
             "break" => self.store.close_connections(),
             _ => bail!("unknown argument of the store step: {how:?}"),
         }
