--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -15,8 +15,9 @@
 /// The duration of a fault, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 200..1_500;
 /// Faults of a server that affect a single request.
-const REQUEST_FAULTS: [SiteFault; 10] = [
+const REQUEST_FAULTS: [SiteFault; 11] = [
     SiteFault::Reject,
+    SiteFault::RejectFor(600),
     SiteFault::Reset,
     SiteFault::WrongId,
     SiteFault::Cut,
@@ -37,7 +38,7 @@
     while Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
         let duration = Duration::from_millis(rng.random_range(DURATION_MS));
-        match rng.random_range(0..12) {
+        match rng.random_range(0..13) {
             0..=3 => {
                 let server = random_server(testbed, &mut rng);
                 server
@@ -54,6 +55,7 @@
                 }));
             }
             5 => active.push(store_fault(testbed, rng.random_range(0..6), duration)),
+            12 => active.push(revert_store(testbed, duration)),
             6 => {
                 config_version += rng.random_range(1..4);
                 testbed.configure(config_version);
@@ -120,17 +122,35 @@
     })
 }
 
-/// Adds a server and retires another one of the same service: its entry is marked as
-/// draining, and sometimes removed, while the server goes on answering.
+/// Keeps a copy of the store, and after `duration` has the store come back from it. What the
+/// operator and the servers wrote is then written again.
+fn revert_store(testbed: &Arc<Testbed>, duration: Duration) -> tokio::task::JoinHandle<()> {
+    let testbed = testbed.clone();
+    testbed.store.take_copy();
+    tokio::spawn(async move {
+        tokio::time::sleep(duration).await;
+        testbed.store.revert();
+        testbed.write_again();
+        *testbed.store_healthy_since.lock().unwrap() = Instant::now();
+    })
+}
+
+/// Adds a server and retires another one of the same service: the server says so in its
+/// answers, its entry is marked as draining, and sometimes removed, while it goes on answering.
 async fn replace_server(testbed: &Arc<Testbed>, rng: &mut ChaCha8Rng, number: u32) -> Result<()> {
     let server = random_server(testbed, rng);
     testbed.add_server(&format!("s{number}"), server.service).await?;
+    if rng.random_range(0..2) == 0 {
+        server.server.announce_leaving();
+    }
     testbed.list(&server, "draining");
     testbed.retired_at.lock().unwrap().insert(server.id.clone(), Instant::now());
     testbed.servers.lock().unwrap().retain(|other| other.id != server.id);
-    if rng.random_range(0..2) == 0 {
+    let is_removed = rng.random_range(0..2) == 0;
+    if is_removed {
         testbed.store.remove("servers", &server.id);
     }
+    testbed.retired.lock().unwrap().push((server, is_removed));
     Ok(())
 }
 
--- a/tests/soak/testbed.rs
+++ b/tests/soak/testbed.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -48,6 +49,10 @@
     pub outcomes: Mutex<Vec<Outcome>>,
     /// When servers were marked as draining, by server id.
     pub retired_at: Mutex<HashMap<String, Instant>>,
+    /// The servers that were marked as draining, and whether their entries were removed.
+    pub retired: Mutex<Vec<(Server, bool)>>,
+    /// The newest configuration.
+    pub config_version: AtomicU64,
     /// When the last fault of the store ended.
     pub store_healthy_since: Mutex<Instant>,
     pub stop: CancellationToken,
@@ -81,8 +86,23 @@
         self.store.put("servers", &server.id, entry.to_string().as_bytes());
     }
 
+    /// Writes the newest configuration and all entries of servers again.
+    pub fn write_again(&self) {
+        self.configure(self.config_version.load(Ordering::Relaxed));
+        for server in self.servers.lock().unwrap().iter() {
+            self.list(server, "ready");
+        }
+        for (server, is_removed) in self.retired.lock().unwrap().iter() {
+            match is_removed {
+                true => self.store.remove("servers", &server.id),
+                false => self.list(server, "draining"),
+            }
+        }
+    }
+
     /// Writes a configuration.
     pub fn configure(&self, version: u64) {
+        self.config_version.store(version, Ordering::Relaxed);
         let route = |prefix: &str, kind: &str, service: &str, attempts: u32| {
             json!({ "name": prefix, "host": "site.test", "prefix": prefix, "route_kind": kind,
                 "timeout_ms": 4000, "target_latency_ms": 300, "service": service,
@@ -125,6 +145,8 @@
         addrs: Mutex::new(vec![([127, 0, 0, 1], 1).into(); instance_count]),
         outcomes: Mutex::default(),
         retired_at: Mutex::default(),
+        retired: Mutex::default(),
+        config_version: AtomicU64::new(0),
         store_healthy_since: Mutex::new(Instant::now()),
         stop: stop.clone(),
     });
