--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -20,10 +20,10 @@
 //!   closes its listener and its connections; `dark ID` closes its listener and keeps
 //!   its connections open without answering.
 //! - `fault ID KIND [N]` queues a fault for the next request, `always ID KIND [N]` sets one
-//!   for all requests, `always ID none` removes it. `KIND` is one of `reject`, `reset`,
-//!   `reject-for` (with a time of `N` ms to come back), `other-id`, `cut`, `fail`, `hang`, `unsealed`, `unsure`, `slow`, and for streams `cut-after`,
-//!   `torn-after` and `silent-after`, which apply after event `N` (2 if not given); see
-//!   [`SiteFault`].
+//!   for all requests, `always ID none` removes it. `KIND` is one of `reject`, `reject-for`
+//!   (with a time of `N` ms to come back), `reset`, `other-id`, `cut`, `fail`, `hang`,
+//!   `unsealed`, `unsure`, `slow`, and for streams `cut-after`, `torn-after` and
+//!   `silent-after`, which apply after event `N` (2 if not given); see [`SiteFault`].
 //!
 //! - `limit ID RATE` makes a server name a rate limit in all responses, `limit ID none` none;
 //!   `within-limit ID` checks that it received no more since then than the limit allows, and
