--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -80,7 +80,7 @@
 //!   `burst-ends` waits for the responses, for `answered`.
 //! - `users NODE,NODE,... PATH SECONDS COUNT` lets so many callers each send four requests of a
 //!   session, to instances in turn, and then begin another session; all sessions are in the
-//!   canary of a rollout. `pinned MOST` checks that in the first half of the last rollout no
+//!   canary of a rollout. `pinned SERVICE MOST` checks that in the first half of the last rollout no
 //!   more than so many of their requests ran on another version than the one before.
 //! - `raw NODE TEXT` sends bytes (`\s`, `\r`, `\n` stand for space and line ends) and
 //!   reads until the connection is closed. `says TEXT` and `lacks TEXT` check what was
@@ -366,12 +366,13 @@
                 let until = Instant::now() + Duration::from_secs_f64(seconds.parse()?);
                 self.run_users(&nodes, path, until, count.parse()?).await?;
             }
-            ["pinned", most] => {
+            ["pinned", service, most] => {
                 let changes = self.version_changes()?;
                 ensure!(
                     changes.len() <= most.parse()?,
-                    "{} requests changed the version, {changes:?} after the order",
-                    changes.len()
+                    "{} requests changed the version, {changes:?} after the order; the row is {}",
+                    changes.len(),
+                    self.rollout_state(service)
                 );
             }
             ["burst", node, path, count] => {
