Instances log when they begin or cease to read a table for others

Evidence: two instances that the store served were behind for 6.4 s, while the store turned the hubs away. No log line said which instance reads a table for others; table_role does, so that the fourth hypothesis (the hubs' silence) can be told from the others. No decision is changed.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -89,6 +89,7 @@
             polls: JoinSet::new(),
             fetches: JoinSet::new(),
             health: StoreHealth::default(),
+            reads_for_others: false,
         };
         task.run().await;
     }
@@ -149,6 +150,8 @@
     /// The open fetch from another instance, if there is one.
     fetches: JoinSet<Option<TableDelta>>,
     health: StoreHealth,
+    /// Whether it reads the table for others, as last logged.
+    reads_for_others: bool,
 }
 
 impl<D: 'static, T: Tables + 'static, F: Follower> FollowTask<D, T, F> {
@@ -444,9 +447,24 @@
             false => ANSWER_PATIENCE,
         };
         let mode = self.election.next_mode(position, now);
+        self.log_role(mode == FeedMode::ReadForOthers, position, now);
         PollSituation { mode, holds_poll: self.peers.holds_poll(now), patience, now }
     }
 
+    /// Logs when this instance begins or ceases to read the table for others.
+    fn log_role(&mut self, reads: bool, position: usize, now: MonotonicTime) {
+        if std::mem::replace(&mut self.reads_for_others, reads) == reads {
+            return;
+        }
+        let fields = json!({
+            "table": self.table,
+            "role": if reads { "reads" } else { "listens" },
+            "position": position,
+            "hub": self.peers.is_hub(now),
+        });
+        self.gateway.event_log.write("table_role", now, || fields);
+    }
+
     fn start_poll(&mut self, wait: Duration) {
         let (shared, table, since) = (self.shared.clone(), self.table, self.known().revision);
         self.polls.spawn_local(async move { shared.store.feed(table, since, wait).await });
