--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -32,8 +32,16 @@
 #[derive(Clone)]
 pub struct Relay {
     addr: SocketAddr,
-    /// The mode, and the number of changes to it so far.
-    mode: Arc<watch::Sender<(RelayMode, u64)>>,
+    state: Arc<watch::Sender<State>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct State {
+    mode: RelayMode,
+    /// The number of changes of the mode so far.
+    changes: u64,
+    /// Where connections lead.
+    target: SocketAddr,
 }
 
 impl Relay {
@@ -41,9 +49,10 @@
     pub async fn start(target: SocketAddr, stop: CancellationToken) -> Result<Self> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let addr = listener.local_addr()?;
-        let (mode, watch) = watch::channel((RelayMode::Forward, 0));
-        tokio::spawn(accept_by_mode(listener, addr, target, watch, stop));
-        Ok(Relay { addr, mode: Arc::new(mode) })
+        let state = State { mode: RelayMode::Forward, changes: 0, target };
+        let (state, receiver) = watch::channel(state);
+        tokio::spawn(accept_by_mode(listener, addr, receiver, stop));
+        Ok(Relay { addr, state: Arc::new(state) })
     }
 
     /// The address that the relay listens on.
@@ -53,26 +62,33 @@
 
     /// Changes how the relay treats connections.
     pub fn set_mode(&self, mode: RelayMode) {
-        self.mode.send_modify(|state| *state = (mode, state.1 + 1));
+        self.state.send_modify(|state| {
+            state.mode = mode;
+            state.changes += 1;
+        });
+    }
+
+    /// Leads new connections to another target, and closes existing ones.
+    pub fn redirect(&self, target: SocketAddr) {
+        self.state.send_modify(|state| state.target = target);
     }
 }
 
-type ModeReceiver = watch::Receiver<(RelayMode, u64)>;
+type StateReceiver = watch::Receiver<State>;
 
 /// Accepts connections while the mode allows it, and otherwise closes the listener.
 async fn accept_by_mode(
     listener: TcpListener,
     addr: SocketAddr,
-    target: SocketAddr,
-    mut mode: ModeReceiver,
+    mut state: StateReceiver,
     stop: CancellationToken,
 ) {
     let mut listener = Some(listener);
     // Dropping it frees the address.
     let mut full_queue = None;
     loop {
-        let (current, change) = *mode.borrow_and_update();
-        let listens = match current {
+        let current = *state.borrow_and_update();
+        let listens = match current.mode {
             RelayMode::Forward
             | RelayMode::Disconnect
             | RelayMode::StallExisting
@@ -82,7 +98,7 @@
         if !listens {
             drop(listener.take());
         }
-        full_queue = match current {
+        full_queue = match current.mode {
             RelayMode::Unreachable if full_queue.is_none() => FullQueue::listen(addr).ok(),
             RelayMode::Unreachable => full_queue,
             _ => None,
@@ -98,14 +114,14 @@
         };
         let accepted = tokio::select! {
             accepted = accepting => accepted,
-            _ = mode.changed() => continue,
+            _ = state.changed() => continue,
             () = stop.cancelled() => return,
         };
         if let Ok((stream, _)) = accepted
-            && current != RelayMode::Disconnect
+            && current.mode != RelayMode::Disconnect
         {
-            let (mode, stop) = (mode.clone(), stop.clone());
-            tokio::spawn(forward_connection(stream, target, mode, change, stop));
+            let (state, stop) = (state.clone(), stop.clone());
+            tokio::spawn(forward_connection(stream, current, state, stop));
         }
     }
 }
@@ -138,23 +154,27 @@
     }
 }
 
-/// Forwards both directions of a connection until both are closed or the mode is
-/// [`RelayMode::Disconnect`] or [`RelayMode::Refuse`].
+/// Forwards both directions of a connection that was opened in the state `opened` until both
+/// are closed, the mode is [`RelayMode::Disconnect`] or [`RelayMode::Refuse`], or the target
+/// has changed.
 async fn forward_connection(
     client: TcpStream,
-    target: SocketAddr,
-    mut mode: ModeReceiver,
-    opened_at_change: u64,
+    opened: State,
+    mut state: StateReceiver,
     stop: CancellationToken,
 ) {
-    let Ok(server) = TcpStream::connect(target).await else { return };
+    let Ok(server) = TcpStream::connect(opened.target).await else { return };
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
-    let upstream = forward_bytes(client_read, server_write, mode.clone(), opened_at_change);
-    let downstream = forward_bytes(server_read, client_write, mode.clone(), opened_at_change);
+    let upstream = forward_bytes(client_read, server_write, state.clone(), opened.changes);
+    let downstream = forward_bytes(server_read, client_write, state.clone(), opened.changes);
+    let is_closed = |state: &State| {
+        matches!(state.mode, RelayMode::Disconnect | RelayMode::Refuse)
+            || state.target != opened.target
+    };
     tokio::select! {
         _ = async { tokio::join!(upstream, downstream) } => {}
-        _ = mode.wait_for(|(mode, _)| matches!(mode, RelayMode::Disconnect | RelayMode::Refuse)) => {}
+        _ = state.wait_for(is_closed) => {}
         () = stop.cancelled() => {}
     }
 }
@@ -163,22 +183,22 @@
 async fn forward_bytes(
     mut from: tokio::net::tcp::OwnedReadHalf,
     mut to: tokio::net::tcp::OwnedWriteHalf,
-    mut mode: ModeReceiver,
+    mut state: StateReceiver,
     opened_at_change: u64,
 ) {
     let mut buffer = vec![0; 16 << 10];
     loop {
         let Ok(count) = from.read(&mut buffer).await else { return };
         // A stalled connection stays open, so that neither end sees a close or a reset.
-        let forwards = |(mode, change): &(RelayMode, u64)| match mode {
+        let forwards = |state: &State| match state.mode {
             RelayMode::Forward | RelayMode::RefuseNew => true,
-            RelayMode::StallExisting => *change == opened_at_change,
+            RelayMode::StallExisting => state.changes == opened_at_change,
             RelayMode::Disconnect
             | RelayMode::StallAll
             | RelayMode::Refuse
             | RelayMode::Unreachable => false,
         };
-        if mode.wait_for(forwards).await.is_err() || count == 0 {
+        if state.wait_for(forwards).await.is_err() || count == 0 {
             return;
         }
         if to.write_all(&buffer[..count]).await.is_err() {
--- a/crates/fakes/src/site_store.rs
+++ b/crates/fakes/src/site_store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,7 +22,7 @@
 pub struct SiteStoreFaults {
     /// Every call fails with status 503.
     pub unavailable: bool,
-    /// No call is answered.
+    /// No call is answered that is open meanwhile, also not later.
     pub hang: bool,
     /// The number of upcoming writes that are handled without a reply: their connections
     /// are closed instead.
@@ -41,6 +42,8 @@
     /// Notified after every change of a row.
     changed: Notify,
     faults: Mutex<SiteStoreFaults>,
+    /// The number of times that it stopped answering.
+    hangs: AtomicU64,
     started: Instant,
 }
 
@@ -76,6 +79,7 @@
             tables: Mutex::default(),
             changed: Notify::new(),
             faults: Mutex::default(),
+            hangs: AtomicU64::default(),
             started: Instant::now(),
         });
         let connections = Connections::default();
@@ -122,13 +126,19 @@
         let mut tables = self.state.tables.lock().unwrap();
         tables.era += 1;
         (tables.revision, tables.rows) = tables.copy.clone();
+        tables.compacted_revision = tables.revision;
         drop(tables);
         self.close_connections();
     }
 
     /// Changes the injected faults.
     pub fn set_faults(&self, change: impl FnOnce(&mut SiteStoreFaults)) {
-        change(&mut self.state.faults.lock().unwrap());
+        let mut faults = self.state.faults.lock().unwrap();
+        let was_hanging = faults.hang;
+        change(&mut faults);
+        if faults.hang && !was_hanging {
+            self.state.hangs.fetch_add(1, Ordering::Relaxed);
+        }
     }
 
     /// Closes all open connections and accepts new ones.
@@ -155,7 +165,11 @@
 
 impl Handler for State {
     async fn handle(&self, request: Request<Incoming>) -> Option<Response<ResponseBody>> {
+        let hangs = self.hangs.load(Ordering::Relaxed);
         let mut response = self.respond(request).await?;
+        if self.hangs.load(Ordering::Relaxed) > hangs {
+            std::future::pending::<()>().await;
+        }
         let era = self.tables.lock().unwrap().era;
         if era > 0 {
             response.headers_mut().insert("store-era", era.into());
