Instances read the store when their hubs are silent about it

Cause: in a domain of four instances or more one reads a table for all. An instance that heard its hub waited 5 s longer than any hub before it read itself. Hubs that are alive but turned away by the store thus kept everybody from reading it. Class: what one instance sees is taken for the whole; here a live hub's silence about the store for the store's.

Change: members follow the hubs in the order of readers, 0.1 s each. When the store is unavailable, the hub and two more instances of a domain look for it often, the others seldom, as all members did before.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -30,8 +30,8 @@
 /// Maximum backoff, short enough that changes take effect in time once the store is
 /// available again.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
-/// Maximum backoff of an instance whose hub calls the store as well.
-const MAX_BACKOFF_BEHIND_HUB: Duration = Duration::from_secs(6);
+/// Maximum backoff of an instance that leaves it to others to find the store available again.
+const MAX_BACKOFF_BEHIND_OTHERS: Duration = Duration::from_secs(6);
 /// How long the store may take to answer, beyond the duration of a poll, before the poll is
 /// repeated.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(800);
@@ -442,8 +442,8 @@
 
     fn situation(&mut self, now: MonotonicTime) -> PollSituation {
         let position = self.peers.reader_position(self.table, now);
-        let patience = match self.peers.relies_on_hub(now) {
-            true => MAX_BACKOFF_BEHIND_HUB,
+        let patience = match self.peers.relies_on_others(now) {
+            true => MAX_BACKOFF_BEHIND_OTHERS,
             false => ANSWER_PATIENCE,
         };
         let mode = self.election.next_mode(position, now);
@@ -648,8 +648,8 @@
         Metrics::count(&self.gateway.metrics.store_calls, error.name());
         self.election.record_own_answer(false);
         let now = self.gateway.now();
-        let max_backoff = match self.peers.relies_on_hub(now) {
-            true => MAX_BACKOFF_BEHIND_HUB,
+        let max_backoff = match self.peers.relies_on_others(now) {
+            true => MAX_BACKOFF_BEHIND_OTHERS,
             false => MAX_BACKOFF,
         };
         let backoff = (MIN_BACKOFF * 2u32.pow(self.health.failures.min(6))).min(max_backoff);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -49,9 +49,9 @@
 /// Fraction of the own link that bursts of datagrams longer than one packet may take;
 /// a full link drops them.
 const BURST_LINK_FRACTION: f64 = 0.4;
-/// How many positions an instance that hears its hub stays behind one that does not, in
-/// the order of a table's readers: hubs tell it when the store answers any of them.
-const POSITIONS_BEHIND_HUB: usize = 50;
+/// Number of instances of a domain that call an unavailable store as often as its hub does: the
+/// store may turn the hub away.
+const SPARE_READERS: usize = 2;
 /// Number of instances of a domain from which on only the reader of a table polls the
 /// store. With fewer, the others hold long polls too: these cost few calls, and a change
 /// takes effect there even while the reader or a hub fails.
@@ -243,11 +243,7 @@
         let membership = self.membership.borrow();
         match membership.role(table, now) {
             _ if membership.is_isolated(now) => 0,
-            Role::Hub(position) => position,
-            Role::Member(position) if membership.has_live_hub(now) => {
-                position + POSITIONS_BEHIND_HUB
-            }
-            Role::Member(position) => position,
+            Role::Hub(position) | Role::Member(position) => position,
         }
     }
 
@@ -258,10 +254,16 @@
             && membership.instances(now) < MIN_SHARED_INSTALLATION
     }
 
-    /// Whether this instance can rely on the hub of its domain to reach the store.
-    pub(crate) fn relies_on_hub(&self, now: MonotonicTime) -> bool {
+    /// Whether this instance leaves it to the hub of its domain and to spare readers to find an
+    /// unavailable store available again.
+    pub(crate) fn relies_on_others(&self, now: MonotonicTime) -> bool {
         let membership = self.membership.borrow();
-        !membership.is_hub(now) && membership.has_live_hub(now) && !self.holds_poll(now)
+        let spares = membership.other_domains() + SPARE_READERS;
+        let is_spare = match membership.role("", now) {
+            Role::Hub(_) => true,
+            Role::Member(position) => position <= spares,
+        };
+        !is_spare && membership.has_live_hub(now) && !self.holds_poll(now)
     }
 
     /// Returns a queue that receives the updates of other instances for a table from now
