--- a/crates/fakes/src/site_store.rs
+++ b/crates/fakes/src/site_store.rs
@@ -24,6 +24,8 @@
     pub unavailable: bool,
     /// No call is answered that is open meanwhile, also not later.
     pub hang: bool,
+    /// How long each answer takes.
+    pub delay: Duration,
     /// The number of upcoming writes that are handled without a reply: their connections
     /// are closed instead.
     pub lose_replies: u32,
@@ -167,6 +169,8 @@
     async fn handle(&self, request: Request<Incoming>) -> Option<Response<ResponseBody>> {
         let hangs = self.hangs.load(Ordering::Relaxed);
         let mut response = self.respond(request).await?;
+        let delay = self.faults.lock().unwrap().delay;
+        tokio::time::sleep(delay).await;
         if self.hangs.load(Ordering::Relaxed) > hangs {
             std::future::pending::<()>().await;
         }
