Tables are read anew by the schedule of the polls

Cause: after a lost history, or in a new era, both calls of a read were waited for (up to 3.7 s), then a pause of up to 1.5 s, and updates of other instances were left in their queue meanwhile.

Change: the read of a whole table is a poll like others: repeated when it is overdue, several open at a time, the first answer counts, and updates are applied in between; one that closes the gap makes the read needless. A store that loses its history again and again is asked with a growing pause, not in a loop. The read at the start of an instance uses the same way. The pause of an instance that left the store to others ends when it no longer does.

All tests of the workspace pass.

--- a/crates/dispatch/src/poll_schedule.rs
+++ b/crates/dispatch/src/poll_schedule.rs
@@ -126,16 +126,16 @@
         self.resume_at
     }
 
-    /// Ends a pause.
-    pub fn resume(&mut self, now: MonotonicTime) {
-        self.resume_at = self.resume_at.min(now);
-    }
-
-    /// Asks for an immediate answer next: changes are missing that no other instance
+    /// Asks for an immediate answer at `at`: changes are missing that no other instance
     /// sends.
-    pub fn catch_up(&mut self, now: MonotonicTime) {
+    pub fn catch_up(&mut self, at: MonotonicTime) {
         self.catching_up = true;
-        self.resume(now);
+        self.resume_at = at;
+    }
+
+    /// Ends a pause no later than `at`.
+    pub fn limit_pause(&mut self, at: MonotonicTime) {
+        self.resume_at = self.resume_at.min(at);
     }
 
     /// Records that there is a change that the open polls should return.
--- a/crates/dispatch/tests/poll_schedule.rs
+++ b/crates/dispatch/tests/poll_schedule.rs
@@ -120,6 +120,6 @@
     assert!(schedule.record_failure());
     schedule.pause(at(1_500));
     assert_eq!(schedule.next_step(reader(100)), PollStep::Wait(at(1_500)));
-    schedule.resume(at(200));
+    schedule.limit_pause(at(200));
     assert_eq!(schedule.next_step(reader(200)), PollStep::Poll(READER_POLL_WAIT));
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -35,7 +35,7 @@
 /// How long the store may take to answer, beyond the duration of a poll, before the poll is
 /// repeated.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(800);
-/// How long the read of a whole table may take before it is repeated.
+/// The same for the read of a whole table.
 const READ_PATIENCE: Duration = Duration::from_millis(1_200);
 /// How long the follower of a table waits for another table's follower to find the
 /// store available again. Parts of the store may recover at different times.
@@ -87,6 +87,8 @@
             election: ReaderElection::default(),
             schedule: PollSchedule::default(),
             polls: JoinSet::new(),
+            needs_read: false,
+            history_losses: 0,
             fetches: JoinSet::new(),
             health: StoreHealth::default(),
             reads_for_others: false,
@@ -94,29 +96,6 @@
         task.run().await;
     }
 
-    /// Reads a whole table. If this takes long, reads it again on a new connection, and
-    /// returns what arrives first.
-    async fn read_page(&self, table: &'static str) -> Result<Page, StoreError> {
-        let first = self.store.read(table);
-        tokio::pin!(first);
-        if let Ok(result) = tokio::time::timeout(READ_PATIENCE, &mut first).await {
-            return result;
-        }
-        self.store.reconnect();
-        let second = self.store.read(table);
-        tokio::pin!(second);
-        tokio::select! {
-            result = &mut first => match result {
-                Ok(page) => Ok(page),
-                Err(_) => second.await,
-            },
-            result = &mut second => match result {
-                Ok(page) => Ok(page),
-                Err(_) => first.await,
-            },
-        }
-    }
-
     /// Whether this table's follower is the one that probes the store; if there is none,
     /// it becomes the prober.
     fn is_prober(&self, table: &'static str) -> bool {
@@ -135,6 +114,14 @@
     }
 }
 
+/// Answer of the store to a poll.
+enum Answer {
+    /// The whole table.
+    Table(Page),
+    /// What changed.
+    Changes(Page),
+}
+
 /// Task that follows one table.
 struct FollowTask<D, T, F> {
     gateway: Rc<Gateway<D>>,
@@ -146,7 +133,11 @@
     election: ReaderElection,
     schedule: PollSchedule,
     /// The open polls.
-    polls: JoinSet<Result<Page, StoreError>>,
+    polls: JoinSet<Result<Answer, StoreError>>,
+    /// Whether the next poll reads the whole table, as its history is not available.
+    needs_read: bool,
+    /// How often the history was lost since the last answer that continued it.
+    history_losses: u32,
     /// The open fetch from another instance, if there is one.
     fetches: JoinSet<Option<TableDelta>>,
     health: StoreHealth,
@@ -163,13 +154,10 @@
             self.election.record_peer_answer(self.gateway.now(), true);
         }
         self.load().await;
-        loop {
-            self.follow_changes().await;
-            self.read_table().await;
-        }
+        self.follow_changes().await;
     }
 
-    /// Loads the whole table: from another instance or else from the store.
+    /// Loads the whole table from another instance, or has the first poll read it.
     ///
     /// At the first start of the installation the instance whose turn it is reads for
     /// all. Later, callers are waiting, so that an instance which finds no other that
@@ -182,8 +170,8 @@
                 return self.apply_delta(delta).await;
             }
             let patience = self.load_delay();
-            if patience.is_zero() && self.read_or_fetch().await {
-                return;
+            if patience.is_zero() {
+                return self.restart(self.gateway.now());
             }
             source = self.next_sender(patience.max(PEER_RETRY)).await;
         }
@@ -203,27 +191,6 @@
         }
     }
 
-    /// Reads the whole table, or fetches it from an instance that has it by then; returns
-    /// whether it is loaded.
-    async fn read_or_fetch(&mut self) -> bool {
-        self.health.called_at = self.gateway.now();
-        let shared = self.shared.clone();
-        let reading = shared.read_page(self.table);
-        tokio::pin!(reading);
-        loop {
-            tokio::select! {
-                page = &mut reading => return self.apply_table(page).await,
-                sender = self.next_sender(LOAD_RETRY) => {
-                    if sender.is_some() && let Some(delta) = self.fetch(sender).await {
-                        self.log_loaded("peer", delta.known.revision, delta.rows.len());
-                        self.apply_delta(delta).await;
-                        return true;
-                    }
-                }
-            }
-        }
-    }
-
     /// Waits for an update from an instance that knows the table, and returns its
     /// sender; `None` after some time without one.
     async fn next_sender(&mut self, patience: Duration) -> Option<SocketAddr> {
@@ -237,28 +204,14 @@
         }
     }
 
-    /// Reads the whole table from the store.
-    async fn read_table(&mut self) {
-        loop {
-            self.health.called_at = self.gateway.now();
-            let page = self.shared.read_page(self.table).await;
-            if self.apply_table(page).await {
-                return;
-            }
-            self.wait_to_resume().await;
-        }
-    }
-
-    /// Applies the whole table as read from the store; returns whether the read succeeded.
-    async fn apply_table(&mut self, page: Result<Page, StoreError>) -> bool {
-        let page = match page {
-            Ok(page) => page,
-            Err(error) => {
-                self.call_failed(&error);
-                return false;
-            }
-        };
+    /// Applies the whole table as read from the store.
+    async fn apply_table(&mut self, page: Page) {
+        self.drop_polls();
         let mut outage = self.call_succeeded();
+        // Updates applied during the call may be newer than its answer.
+        if page.revision < self.known().revision {
+            return;
+        }
         let now = self.gateway.now();
         let known = KnownRevision { revision: page.revision, changed: page.revision };
         if self.record_era(page.revision) {
@@ -266,17 +219,20 @@
             self.health.recovered_at = Some(now);
             outage = true;
         }
+        // An instance that starts later reads for itself only.
+        let is_reader = self.peers.is_hub(now)
+            || match self.known().revision {
+                0 => self.peers.first_start,
+                _ => self.situation(now).mode == FeedMode::ReadForOthers,
+            };
         self.log_loaded("store", page.revision, page.rows.len());
         self.replace(page.rows, known, outage).await;
         self.confirm(now);
-        // An instance that starts later reads for itself only.
-        let is_reader = self.peers.first_start || self.peers.is_hub(now);
         self.peers.record_answer(self.table, now, self.health.is_settling(now), is_reader);
         if is_reader {
             let announcement = TableUpdate::announce(self.table, known, outage);
             self.peers.send_updates(vec![announcement], true, now).await;
         }
-        true
     }
 
     /// Logs that the store came back from an older copy, if a new revision shows it; returns
@@ -311,6 +267,7 @@
 
     /// Replaces all rows.
     async fn replace(&mut self, rows: Vec<Row>, known: KnownRevision, after_outage: bool) {
+        self.needs_read = false;
         if let Some(copy) = self.peers.tables.borrow_mut().get_mut(self.table) {
             copy.replace(&rows, known);
         }
@@ -319,6 +276,7 @@
 
     /// Applies changed rows up to a revision.
     async fn change(&mut self, rows: Vec<Row>, revision: u64, after_outage: bool) {
+        self.needs_read = false;
         if let Some(copy) = self.peers.tables.borrow_mut().get_mut(self.table) {
             copy.change(&rows, revision);
         }
@@ -383,22 +341,22 @@
         }
     }
 
-    /// Applies changes until the history needed to continue has been compacted.
+    /// Applies changes until the process ends.
     async fn follow_changes(&mut self) {
         let shared = self.shared.clone();
         loop {
-            if !shared.store.continues(self.known().revision) && !self.polls.is_empty() {
-                return self.drop_polls();
+            if !self.needs_read
+                && !self.polls.is_empty()
+                && !shared.store.continues(self.known().revision)
+            {
+                self.restart(self.gateway.now());
             }
             let wake_at = self.start_due_polls();
             tokio::select! {
                 Some(poll) = self.polls.join_next() => match poll {
-                    Ok(Ok(page)) => self.apply_page(page).await,
-                    Ok(Err(StoreError::Compacted)) => {
-                        let calls = &self.gateway.metrics.store_calls;
-                        Metrics::count(calls, StoreError::Compacted.name());
-                        return self.drop_polls();
-                    }
+                    Ok(Ok(Answer::Table(page))) => self.apply_table(page).await,
+                    Ok(Ok(Answer::Changes(page))) => self.apply_page(page).await,
+                    Ok(Err(StoreError::Compacted)) => self.record_history_loss(),
                     Ok(Err(error)) => self.poll_failed(&error),
                     Err(error) => log::debug!("poll of table {} ended: {error}", self.table),
                 },
@@ -406,17 +364,40 @@
                     self.apply_fetched(fetched.unwrap_or_default()).await;
                 }
                 Some(received) = self.updates.recv() => self.follow_update(received).await,
-                () = shared.recovered.notified() => self.schedule.resume(self.gateway.now()),
+                () = shared.recovered.notified() => self.schedule.limit_pause(self.gateway.now()),
                 () = tokio::time::sleep_until(self.gateway.instant(wake_at)) => {}
             }
         }
     }
 
+    /// Records that the history of the table is not available, so that it must be read whole.
+    fn record_history_loss(&mut self) {
+        let calls = &self.gateway.metrics.store_calls;
+        Metrics::count(calls, StoreError::Compacted.name());
+        let backoff = match self.history_losses {
+            0 => Duration::ZERO,
+            losses => (MIN_BACKOFF * 2u32.pow(losses.min(6))).min(MAX_BACKOFF),
+        };
+        self.history_losses += 1;
+        self.restart(self.gateway.now() + backoff);
+    }
+
+    /// Abandons the open polls and has the whole table read, no earlier than `at`.
+    fn restart(&mut self, at: MonotonicTime) {
+        self.needs_read = true;
+        self.drop_polls();
+        self.schedule.catch_up(at);
+    }
+
     /// Starts the polls that are due, and returns when to look again.
     fn start_due_polls(&mut self) -> MonotonicTime {
         loop {
             let now = self.gateway.now();
             let situation = self.situation(now);
+            if !self.relies_on_others(now) {
+                // The pause may have begun when it did.
+                self.schedule.limit_pause(now + PROBE_WAIT);
+            }
             match self.schedule.next_step(situation) {
                 PollStep::Poll(wait) => {
                     self.health.called_at = now;
@@ -442,8 +423,9 @@
 
     fn situation(&mut self, now: MonotonicTime) -> PollSituation {
         let position = self.peers.reader_position(self.table, now);
-        let patience = match self.peers.relies_on_others(now) {
-            true => MAX_BACKOFF_BEHIND_OTHERS,
+        let patience = match self.needs_read {
+            _ if self.relies_on_others(now) => MAX_BACKOFF_BEHIND_OTHERS,
+            true => READ_PATIENCE,
             false => ANSWER_PATIENCE,
         };
         let mode = self.election.next_mode(position, now);
@@ -451,6 +433,12 @@
         PollSituation { mode, holds_poll: self.peers.holds_poll(now), patience, now }
     }
 
+    /// Whether it is left to other instances to find an unavailable store available again.
+    fn relies_on_others(&self, now: MonotonicTime) -> bool {
+        // Callers wait until an instance that starts has the table.
+        self.known().revision > 0 && self.peers.relies_on_others(now)
+    }
+
     /// Logs when this instance begins or ceases to read the table for others.
     fn log_role(&mut self, reads: bool, position: usize, now: MonotonicTime) {
         if std::mem::replace(&mut self.reads_for_others, reads) == reads {
@@ -467,7 +455,14 @@
 
     fn start_poll(&mut self, wait: Duration) {
         let (shared, table, since) = (self.shared.clone(), self.table, self.known().revision);
-        self.polls.spawn_local(async move { shared.store.feed(table, since, wait).await });
+        if self.needs_read {
+            self.polls
+                .spawn_local(async move { shared.store.read(table).await.map(Answer::Table) });
+        } else {
+            self.polls.spawn_local(async move {
+                shared.store.feed(table, since, wait).await.map(Answer::Changes)
+            });
+        }
     }
 
     /// Abandons the open polls.
@@ -523,18 +518,6 @@
         }
     }
 
-    /// Waits for the end of a pause and applies updates of other instances meanwhile.
-    async fn wait_to_resume(&mut self) {
-        let until = self.gateway.instant(self.schedule.resume_at());
-        while let Ok(Some(received)) = tokio::time::timeout_at(until, self.updates.recv()).await {
-            if let Some(source) = self.apply_update(received).await
-                && let Some(delta) = self.fetch(Some(source)).await
-            {
-                self.apply_delta(delta).await;
-            }
-        }
-    }
-
     /// Records what an update says of the instance that reads the table; returns when the
     /// store answered that instance.
     fn record_reader(&mut self, received: &ReceivedUpdate) -> MonotonicTime {
@@ -580,6 +563,7 @@
     /// Applies an answer of the store and forwards it if this instance reads for others.
     async fn apply_page(&mut self, page: Page) {
         self.drop_polls();
+        self.history_losses = 0;
         let now = self.gateway.now();
         let recovered = self.call_succeeded();
         let is_reader = self.situation(now).mode == FeedMode::ReadForOthers;
@@ -648,7 +632,7 @@
         Metrics::count(&self.gateway.metrics.store_calls, error.name());
         self.election.record_own_answer(false);
         let now = self.gateway.now();
-        let max_backoff = match self.peers.relies_on_others(now) {
+        let max_backoff = match self.relies_on_others(now) {
             true => MAX_BACKOFF_BEHIND_OTHERS,
             false => MAX_BACKOFF,
         };
@@ -658,7 +642,10 @@
             true => backoff.mul_f64(0.5 + self.gateway.random() / 2.0),
             false => PROBE_WAIT,
         };
-        self.schedule.pause(now + pause);
+        match self.needs_read {
+            true => self.schedule.catch_up(now + pause),
+            false => self.schedule.pause(now + pause),
+        }
     }
 
     /// Handles a successful call; returns whether the calls before it had failed.
