Requests that are handed over keep the configuration that accepted them

A refusal for a reason in the request counts only from a newer configuration, which the refusal names. An instance of an earlier build names none, so its 404 is never passed on.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -25,6 +25,8 @@
 /// A validated request, with the route, service and account that it was resolved to.
 pub(crate) struct Exchange<D> {
     pub gateway: Rc<Gateway<D>>,
+    /// The version of the configuration that the request was resolved by.
+    pub config: u64,
     pub route: Arc<Route>,
     pub service: Name,
     pub account: Option<Arc<Account>>,
@@ -59,8 +61,14 @@
     let mut request = gateway.dialect.read_request(&head).map_err(refuse)?;
     *id = request.id.clone();
     let catalog = gateway.catalog().ok_or_else(|| refuse(Kind::NotReady))?;
-    if handover.is_some() && gateway.is_helping_enough() {
-        return Err(refuse(Kind::Overloaded));
+    if let Some(handover) = &handover {
+        // Only the caller's instance knows the configuration that the request must be handled by.
+        if catalog.version < handover.config {
+            return Err(refuse(Kind::NotReady));
+        }
+        if gateway.is_helping_enough() {
+            return Err(refuse(Kind::Overloaded));
+        }
     }
     if head_bytes(&head) > catalog.limits.header_bytes {
         return Err(refuse(Kind::HeadTooLarge));
@@ -92,6 +100,7 @@
     }
     Ok(Exchange {
         gateway: gateway.clone(),
+        config: catalog.version,
         route,
         service,
         account,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,7 +17,7 @@
 use crate::arrival::{Exchange, admit};
 use crate::body::{ResponseBody, refusal_response};
 use crate::gateway::Gateway;
-use crate::handover::{Handover, add_refusal_headers, read_attempts, set_attempts};
+use crate::handover::{Handover, add_refusal_headers, is_final, read_attempts, set_attempts};
 use crate::metrics::Metrics;
 use crate::send::{InFlight, MAX_BUFFERED_BODY, PendingResponse, SendOptions, SendResult, Target};
 use crate::wire::Dialect;
@@ -119,6 +119,7 @@
     result.unwrap_or_else(|refusal| {
         let outcomes = gateway.metrics.requests_by_origin(is_handover);
         Metrics::count(outcomes, refusal.kind().name());
+        let config = gateway.catalog().map_or(0, |catalog| catalog.version);
         let fields = || {
             json!({
                 "request": id,
@@ -126,14 +127,14 @@
                 "not_run": refusal.not_run(),
                 "retry_after_ms": refusal.retry_after_ms(),
                 "held_ms": (gateway.now() - arrived).as_millis() as u64,
-                "config": gateway.catalog().map(|catalog| catalog.version),
+                "config": config,
                 "taken_over": is_handover,
             })
         };
         gateway.event_log.write("refused", gateway.now(), fields);
         let mut response = refusal_response(&refusal);
         match is_handover {
-            true => add_refusal_headers(&refusal, response.headers_mut()),
+            true => add_refusal_headers(&refusal, config, response.headers_mut()),
             false => gateway.dialect.add_refusal_headers(&id, response.headers_mut()),
         }
         response
@@ -206,6 +207,9 @@
                 }
                 SendResult::Declined(reason) => {
                     self.record_declined(progress, in_flight, reason);
+                    if is_final(reason.kind) {
+                        return Err(self.reject(reason));
+                    }
                 }
                 SendResult::GivenUp(kind) => {
                     progress.possible_runs += 1;
@@ -591,7 +595,7 @@
                 "route": &*self.route.name,
                 "service": &*self.service,
                 "account": self.account.as_ref().map(|account| &*account.name),
-                "config": gateway.catalog().map(|catalog| catalog.version),
+                "config": self.config,
                 "status": status,
                 "taken_over": self.handover.is_some(),
                 "sends": progress.attempts,
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -30,6 +30,8 @@
 /// The number of servers on which the request may have run, so far on a request and in all
 /// on its answer.
 const ATTEMPTS: HeaderName = HeaderName::from_static("lacewingchute-attempts");
+/// The version of the configuration in force at the sender, on a request and on a refusal.
+const CONFIG: HeaderName = HeaderName::from_static("lacewingchute-config");
 /// The id of the last event that was forwarded to the caller.
 const RESUME_AFTER: HeaderName = HeaderName::from_static("lacewingchute-resume-after");
 /// The kind of error with which the helper refuses the request.
@@ -54,6 +56,8 @@
     pub remaining: Duration,
     /// The number of servers on which the request may have run before.
     pub attempts: u32,
+    /// The version of its configuration; 0 if it is not known.
+    pub config: u64,
     /// The id of the last event that was forwarded to the caller.
     pub resume_after: Option<u64>,
 }
@@ -66,28 +70,51 @@
             value.to_str().ok()?.parse::<u64>().ok()
         };
         let (remaining, attempts) = (number(&REMAINING), number(&ATTEMPTS));
-        let resume_after = number(&RESUME_AFTER);
+        let (config, resume_after) = (number(&CONFIG), number(&RESUME_AFTER));
         Some(Handover {
             remaining: Duration::from_millis(remaining?),
             attempts: attempts.and_then(|attempts| u32::try_from(attempts).ok()).unwrap_or(0),
+            config: config.unwrap_or(0),
             resume_after,
         })
     }
 }
 
-/// Reads the refusal of a helper, if the response is one.
-pub(crate) fn read_refusal(headers: &HeaderMap) -> Option<SendResult> {
+/// Reads the refusal of a helper, if the response is one; `config` is the version of this
+/// instance's configuration.
+///
+/// This instance has accepted the request. A helper that finds fault with the request or its
+/// route is right only if it knows a newer configuration.
+pub(crate) fn read_refusal(headers: &HeaderMap, config: u64) -> Option<SendResult> {
     let name = headers.get(&REFUSAL)?.to_str().ok()?;
     let kind = Kind::ALL.into_iter().find(|kind| kind.name() == name);
     let kind = kind.unwrap_or(Kind::BackendFailed);
     if !headers.contains_key(&NOT_RUN) {
         return Some(SendResult::GivenUp(kind));
     }
-    let retry_after = headers.get(&RETRY_AFTER).and_then(|value| value.to_str().ok()?.parse().ok());
-    Some(SendResult::Declined(Rejection {
+    let number = |name: &HeaderName| headers.get(name)?.to_str().ok()?.parse().ok();
+    let is_newer = number(&CONFIG).is_some_and(|helper_config| helper_config > config);
+    let kind = match kind {
+        // The way to the helper broke: the caller's body is whole.
+        Kind::BodyCut => Kind::NotReady,
+        _ if is_final(kind) && !is_newer => Kind::NotReady,
+        _ => kind,
+    };
+    let retry_after = number(&RETRY_AFTER).map(Duration::from_millis);
+    Some(SendResult::Declined(Rejection { kind, retry_after }))
+}
+
+/// Whether a helper refuses for a reason that lies in the request or the configuration, so that
+/// no other one need be asked.
+pub(crate) fn is_final(kind: Kind) -> bool {
+    matches!(
         kind,
-        retry_after: retry_after.map(Duration::from_millis),
-    }))
+        Kind::UnknownKey
+            | Kind::UnknownRoute
+            | Kind::NotAllowed
+            | Kind::BodyTooLarge
+            | Kind::HeadTooLarge
+    )
 }
 
 /// Whether a helper that refuses for this reason reaches no server either, or is not ready to
@@ -110,8 +137,10 @@
     }
 }
 
-/// Adds the headers by which the other instance recognizes a refusal.
-pub(crate) fn add_refusal_headers(refusal: &Refusal, headers: &mut HeaderMap) {
+/// Adds the headers by which the other instance recognizes a refusal; `config` is the version of
+/// this instance's configuration.
+pub(crate) fn add_refusal_headers(refusal: &Refusal, config: u64, headers: &mut HeaderMap) {
+    headers.insert(CONFIG, config.into());
     headers.insert(REFUSAL, HeaderValue::from_static(refusal.kind().name()));
     if refusal.not_run() {
         headers.insert(NOT_RUN, HeaderValue::from_static("1"));
@@ -201,6 +230,7 @@
         let remaining = self.deadline.saturating_sub(self.gateway.now());
         headers.insert(REMAINING, (remaining.as_millis() as u64).into());
         headers.insert(ATTEMPTS, options.possible_runs.into());
+        headers.insert(CONFIG, self.config.into());
         if let Some(event) = options.resume_after {
             headers.insert(RESUME_AFTER, event.into());
         }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -366,7 +366,7 @@
         sent_at: MonotonicTime,
     ) -> SendResult {
         if target.is_helper
-            && let Some(result) = read_refusal(&response.head.headers)
+            && let Some(result) = read_refusal(&response.head.headers, self.config)
         {
             return result;
         }
