--- a/tests/runner/node.rs
+++ b/tests/runner/node.rs
@@ -18,6 +18,10 @@
 /// The time between two polls of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The environment variable with the path of an earlier build of the program, which older
+/// instances run. They run this build if it is not set.
+const OLDER_BUILD: &str = "LACEWINGCHUTE_OLDER_BUILD";
+
 /// Read-locked while a process is spawned, write-locked while a fake server closes its
 /// listener. Between fork and exec a child holds copies of all sockets, so that a
 /// connection to the closed listener would be accepted and then reset.
@@ -58,6 +62,7 @@
     domain: String,
     seeds: Option<Vec<SocketAddr>>,
     first_start: bool,
+    older: bool,
     log: Stdio,
 }
 
@@ -71,6 +76,7 @@
             domain: "z1".to_owned(),
             seeds: None,
             first_start: false,
+            older: false,
             log: Stdio::null(),
         }
     }
@@ -99,6 +105,12 @@
         self
     }
 
+    /// Sets whether it runs an older build, see [`OLDER_BUILD`].
+    pub fn older(mut self, older: bool) -> Self {
+        self.older = older;
+        self
+    }
+
     /// Sets where the log goes.
     pub fn log(mut self, log: Stdio) -> Self {
         self.log = log;
@@ -128,7 +140,12 @@
         let file = format!("lacewingchute-{}-{ip}.json", std::process::id());
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, settings.to_string())?;
-        let mut command = Command::new(env!("CARGO_BIN_EXE_lacewingchute"));
+        let own_build = env!("CARGO_BIN_EXE_lacewingchute");
+        let program = match std::env::var_os(OLDER_BUILD) {
+            Some(path) if self.older => path,
+            _ => own_build.into(),
+        };
+        let mut command = Command::new(program);
         command.arg("node").env("LACEWINGCHUTE_CONFIG", &path);
         command.stdout(self.log).stderr(Stdio::null());
         let child = spawn(&mut command).context("starting the program")?;
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -36,8 +36,9 @@
 //!
 //! Instances of the program:
 //!
-//! - `node ID [grace=S] [domain=NAME] [seeds=ID,ID] [first] [relayed] [unread-log]` starts
-//!   an instance; `first` if the whole installation starts for the first time; `relayed`
+//! - `node ID [grace=S] [domain=NAME] [seeds=ID,ID] [first] [older] [relayed] [unread-log]`
+//!   starts an instance; `older` if it runs an earlier build of the program, whose path is in
+//!   `LACEWINGCHUTE_OLDER_BUILD`, or this build if it is not set; `first` if the whole installation starts for the first time; `relayed`
 //!   to reach the store through a relay, which `store-path ID cut|back` controls. The log of
 //!   `unread-log` goes to a pipe that is not read before `logged`.
 //! - `ready ID`, `not-ready ID`, `metric ID NAME VALUE` and `ended ID CODE` wait for a
@@ -292,6 +293,7 @@
                     .grace_s(grace)
                     .domain(options.get("domain").unwrap_or("z1"))
                     .first_start(options.has("first"))
+                    .older(options.has("older"))
                     .log(log);
                 if let Some(seeds) = options.get("seeds") {
                     let control = |id| self.node(id).map(|node| node.control);
