Instances that know no eras are told numbers, and hold nobody back

An update of this build made it ask the store for changes after a revision that does not exist. Instances of this build took its updates for those of the reader: the revisions look old, so that nothing seems new, and nobody else reads.

Change: an update of an earlier era than the own one is ignored, also as a sign that the store answers. Instances are asked whether they know eras; those that don't are told numbers, in datagrams, tables and states. Reports on rollouts match by number if one side names no era. The process, not the address, is remembered, so that an instance that is replaced is asked again.

--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -7,6 +7,7 @@
 use dispatch::{RolloutState, RolloutStats, RouteStats, Sample, ServerLoad};
 use serde::{Deserialize, Serialize};
 
+use crate::era_support::is_same_revision;
 use crate::gateway::Gateway;
 use crate::rollouts::StatsSource;
 
@@ -132,6 +133,18 @@
         aged == *self
     }
 
+    /// Whether it names revisions of the store.
+    pub fn names_revisions(&self) -> bool {
+        !self.rollouts.is_empty()
+    }
+
+    /// Changes the revisions that it names.
+    pub fn change_revisions(&mut self, change: impl Fn(u64) -> u64) {
+        for report in &mut self.rollouts {
+            report.revision = change(report.revision);
+        }
+    }
+
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
         self.rollouts.is_empty() && self.poison.is_empty() && self.sessions.is_empty()
@@ -143,6 +156,13 @@
     }
 }
 
+impl RouteReport {
+    /// Changes the revision that it names.
+    pub fn change_revision(&mut self, change: impl Fn(u64) -> u64) {
+        self.revision = change(self.revision);
+    }
+}
+
 impl<D> Gateway<D> {
     /// Returns the state to report, without sessions.
     pub(crate) fn digest(&self, scope: Scope, incarnation: u64) -> Digest {
@@ -225,7 +245,10 @@
                 StatsSource::Instance(from, report.incarnation)
             }
         };
-        self.update_rollout(&report.service, report.revision, |tracked| {
+        let Some(revision) = self.matching_revision(&report.service, report.revision) else {
+            return;
+        };
+        self.update_rollout(&report.service, revision, |tracked| {
             let routes = report.routes.into_iter();
             let routes = routes.map(|(route, stats)| (route, stats.stats())).collect();
             tracked.peer_routes.insert(source, routes);
@@ -265,12 +288,12 @@
             }
         };
         for report in digest.rollouts {
-            if self.rollout_revision(&report.service) != Some(report.revision) {
+            let Some(revision) = self.matching_revision(&report.service, report.revision) else {
                 continue;
-            }
+            };
             self.set_rollout_state(&report.service, &report.to, report.state, report.written);
             self.set_rollout_age(&report.service, &report.to, Duration::from_millis(report.age_ms));
-            self.update_rollout(&report.service, report.revision, |tracked| {
+            self.update_rollout(&report.service, revision, |tracked| {
                 tracked.start_stored |= report.begun;
                 tracked.status_known |= report.status_known;
                 if let Some(counts) = &report.counts {
@@ -288,6 +311,12 @@
         }
     }
 
+    /// Returns the revision of the newest order for a service if another instance means that
+    /// order.
+    fn matching_revision(&self, service: &str, reported: u64) -> Option<u64> {
+        self.rollout_revision(service).filter(|revision| is_same_revision(*revision, reported))
+    }
+
     /// Returns the number of this instance's requests in flight on servers of versions
     /// other than `to`.
     pub(crate) fn old_in_flight(&self, service: &str, to: &str) -> u32 {
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use conn::Pool;
 use dispatch::MonotonicTime;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -23,10 +23,12 @@
 use tokio::net::TcpListener;
 
 use crate::body::ResponseBody;
+use crate::era_support::{ERAS, WithoutEras, in_era_of, supports_eras};
 use crate::gateway::Gateway;
 use crate::handover::take_over;
 use crate::packed::{pack, unpack, unpack_limited};
 use crate::peers::Peers;
+use crate::revision::era;
 use crate::table::TableDelta;
 use crate::wire::Dialect;
 
@@ -45,7 +47,7 @@
 
 /// The last packed answer and what it contains: many instances ask for the same changes
 /// at the same time.
-type PackedAnswer = Option<((String, u64, u64, bool), Bytes)>;
+type PackedAnswer = Option<((String, u64, u64, bool, bool), Bytes)>;
 
 /// Serves other instances at the peer address until the process ends: the tables, the state
 /// of rollouts, and requests that they hand over.
@@ -97,18 +99,21 @@
     request: &Request<Incoming>,
 ) -> Response<ResponseBody> {
     let (path, query) = (request.uri().path(), request.uri().query());
+    let eras = supports_eras(request.headers());
     let body = match path.strip_prefix(TABLES_PATH) {
         Some(table) => query
             .and_then(parse_since)
-            .and_then(|since| packed_table(peers, last_answer, table, since)),
+            .and_then(|since| packed_table(peers, last_answer, table, since, eras)),
         None if path == STATE_PATH && gateway.rollout_states_known() => {
             let mut digest = peers.installation_digest(gateway);
             digest.sessions = gateway.canary_sessions();
+            let digest = if eras { digest } else { digest.without_eras() };
             pack(&digest).ok().map(Bytes::from)
         }
         None => None,
     };
     let mut response = Response::new(ResponseBody::full(Bytes::new()));
+    response.headers_mut().insert(ERAS, HeaderValue::from_static("1"));
     match body {
         Some(body) => *response.body_mut() = ResponseBody::full(body),
         None => *response.status_mut() = StatusCode::NOT_FOUND,
@@ -120,22 +125,29 @@
     query.strip_prefix("since=")?.parse().ok()
 }
 
+/// Returns what an instance misses of a table; `eras` if its request says that it knows them.
 fn packed_table(
     peers: &Peers,
     last_answer: &RefCell<PackedAnswer>,
     table: &str,
     since: u64,
+    eras: bool,
 ) -> Option<Bytes> {
     let tables = peers.tables.borrow();
     let copy = tables.get(table).filter(|copy| copy.is_loaded())?;
     let unsettled = peers.is_unsettled(table);
-    let content = (table.to_owned(), since, copy.known.revision, unsettled);
+    let eras = eras || era(since) > 0;
+    let content = (table.to_owned(), since, copy.known.revision, unsettled, eras);
     if let Some((packed, bytes)) = &*last_answer.borrow()
         && *packed == content
     {
         return Some(bytes.clone());
     }
-    match pack(&copy.since(since, unsettled)) {
+    let delta = match eras {
+        true => copy.since(since, unsettled),
+        false => copy.since(in_era_of(copy.known, since), unsettled).without_eras(),
+    };
+    match pack(&delta) {
         Ok(bytes) => {
             let bytes = Bytes::from(bytes);
             *last_answer.borrow_mut() = Some((content, bytes.clone()));
@@ -156,7 +168,7 @@
         for addr in sources.into_iter().take(MAX_SOURCES) {
             let fetching = fetch_from(&gateway.pool, addr, STATE_PATH);
             match tokio::time::timeout(FETCH_TIMEOUT, fetching).await {
-                Ok(Ok(body)) => match unpack(&body) {
+                Ok(Ok((_, body))) => match unpack(&body) {
                     Ok(digest) => {
                         gateway.apply_digest(digest, addr);
                         return true;
@@ -181,14 +193,9 @@
         now: MonotonicTime,
     ) -> Option<TableDelta> {
         for addr in self.sources(source, now).into_iter().take(MAX_SOURCES) {
-            let path = format!("{TABLES_PATH}{table}?since={since}");
-            let fetching = fetch_from(pool, addr, &path);
-            let fetched = tokio::time::timeout(FETCH_TIMEOUT, fetching).await;
-            let unpack = |body: Bytes| unpack_limited(&body, MAX_TABLE_BYTES as u64);
-            match fetched.map(|fetched| fetched.and_then(unpack)) {
-                Ok(Ok(delta @ TableDelta { .. })) if delta.known.revision > since => {
-                    return Some(delta);
-                }
+            let fetching = fetch_table(pool, addr, table, since);
+            match tokio::time::timeout(FETCH_TIMEOUT, fetching).await {
+                Ok(Ok((_, delta))) if delta.known.revision > since => return Some(delta),
                 Ok(Ok(_)) => {}
                 Ok(Err(error)) => log::debug!("cannot fetch table {table} from {addr}: {error:#}"),
                 Err(_) => log::debug!("timeout while fetching table {table} from {addr}"),
@@ -212,13 +219,27 @@
     }
 }
 
-async fn fetch_from(pool: &Pool, addr: SocketAddr, path: &str) -> Result<Bytes> {
+/// Fetches the rows of a table that changed after a revision, with the headers of the answer.
+pub(crate) async fn fetch_table(
+    pool: &Pool,
+    addr: SocketAddr,
+    table: &str,
+    since: u64,
+) -> Result<(HeaderMap, TableDelta)> {
+    let path = format!("{TABLES_PATH}{table}?since={since}");
+    let (headers, body) = fetch_from(pool, addr, &path).await?;
+    Ok((headers, unpack_limited(&body, MAX_TABLE_BYTES as u64)?))
+}
+
+async fn fetch_from(pool: &Pool, addr: SocketAddr, path: &str) -> Result<(HeaderMap, Bytes)> {
     let lease = pool.lease(addr).await?;
-    let request =
-        Request::get(path).header(http::header::HOST, addr.to_string()).body(Full::default())?;
+    let request = Request::get(path)
+        .header(http::header::HOST, addr.to_string())
+        .header(ERAS, "1")
+        .body(Full::default())?;
     let response = lease.send(request).await.map_err(|error| anyhow!("{error:?}"))?;
-    let status = response.head.status;
+    let (status, headers) = (response.head.status, response.head.headers.clone());
     let body = response.collect(MAX_TABLE_BYTES).await?.context("answer is too long")?;
     ensure!(status == StatusCode::OK, "answered with status {status}");
-    Ok(body)
+    Ok((headers, body))
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -499,6 +499,11 @@
 
     /// Applies an update of another instance, and fetches the rows that it lacks.
     async fn follow_update(&mut self, received: ReceivedUpdate) {
+        // It was told in an earlier era, or by an instance that knows no eras, and says nothing
+        // about this one.
+        if era(received.update.known.revision) < era(self.known().revision) {
+            return Metrics::count(&self.gateway.metrics.table_updates, "earlier_era");
+        }
         let now = self.gateway.now();
         let (unsettled, was_settling) = (received.update.unsettled, self.health.is_settling(now));
         let before = self.known().revision;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod blame;
 mod body;
 mod digest;
+mod era_support;
 mod event_log;
 mod events;
 mod exchange;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,6 +20,7 @@
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 
 use crate::digest::{Digest, Loads, RouteReport, Scope};
+use crate::era_support::EraSupport;
 use crate::fetch::serve_peers;
 use crate::gateway::Gateway;
 use crate::packed::{MAX_DATAGRAM, MAX_UNFRAGMENTED, pack_datagram, unpack};
@@ -82,6 +83,7 @@
     /// Tables that this instance follows.
     pub(crate) tables: RefCell<BTreeMap<&'static str, TableCopy>>,
     pub(crate) session_outboxes: SessionOutboxes,
+    pub(crate) era_support: EraSupport,
     /// Whether an instance has appeared that needs the state sent again.
     newcomer: Cell<bool>,
     /// Since when this instance acts as hub, if it does.
@@ -167,6 +169,7 @@
             answers: RefCell::default(),
             tables: RefCell::default(),
             session_outboxes: SessionOutboxes::default(),
+            era_support: EraSupport::default(),
             newcomer: Cell::new(false),
             hub_since: Cell::new(None),
             permits: PermitDesk::default(),
@@ -352,6 +355,7 @@
         tokio::task::spawn_local(self.clone().send_blame(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_rate_limits(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_sessions(gateway.clone()));
+        tokio::task::spawn_local(self.clone().learn_era_support(gateway.clone()));
         tokio::task::spawn_local(self.send_digests(gateway));
         Ok(())
     }
@@ -520,6 +524,10 @@
                 gateway.apply_digest(digest, from);
             }
             Message::Update(update) => {
+                if era(update.known.revision) > 0 {
+                    let process = (from, self.membership().incarnation(&from));
+                    self.era_support.record(process, true);
+                }
                 let membership = self.membership.borrow();
                 let from_earlier = membership.precedes(&from, &update.table, now);
                 let from_outside = !membership.is_neighbour(&from);
@@ -552,6 +560,20 @@
     /// Sends a message to instances. Failed sends are not retried; the next message
     /// makes up for them.
     pub(crate) async fn send(&self, message: &Message, addrs: &[SocketAddr]) {
+        if self.store_era() == 0 {
+            return self.send_as_is(message, addrs).await;
+        }
+        let Some(numbers) = message.without_eras() else {
+            return self.send_as_is(message, addrs).await;
+        };
+        let receivers = self.era_support.divide(&self.processes(addrs));
+        self.send_as_is(message, &receivers.supporting).await;
+        if !receivers.others.is_empty() {
+            self.send_as_is(&numbers, &receivers.others).await;
+        }
+    }
+
+    async fn send_as_is(&self, message: &Message, addrs: &[SocketAddr]) {
         let Some(socket) = self.socket.get() else { return };
         let bytes = match pack_datagram(message) {
             Ok(bytes) => bytes,
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -472,6 +472,11 @@
             })
     }
 
+    /// Returns the incarnation of the process at an address; 0 if none is known there.
+    pub fn incarnation(&self, addr: &SocketAddr) -> u64 {
+        self.roster.get(addr).map_or(0, |entry| entry.member.incarnation)
+    }
+
     /// Whether an address is that of an instance of the domain.
     pub fn is_neighbour(&self, addr: &SocketAddr) -> bool {
         self.roster.get(addr).is_some_and(|entry| entry.member.domain == self.own().domain)
