--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -277,6 +277,27 @@
     pub prefill_tokens: f64,
 }
 
+/// How many servers of a service an instance reaches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Reach {
+    /// Servers that can be reached.
+    pub reached: usize,
+    /// Servers that are listed and do not shut down.
+    pub listed: usize,
+}
+
+impl Reach {
+    /// Whether there are servers and none can be reached.
+    pub fn is_lost(&self) -> bool {
+        self.listed > 0 && self.reached == 0
+    }
+
+    /// Whether less than half of the servers can be reached, but at least one.
+    pub fn is_narrow(&self) -> bool {
+        self.reached > 0 && self.reached * 2 < self.listed
+    }
+}
+
 /// Loads reported by a peer and the time of the report.
 type ReportedLoads = (MonotonicTime, Vec<(Name, ServerLoad)>);
 
@@ -563,10 +584,14 @@
         }
     }
 
-    /// Whether a service has servers and none of them can be reached.
-    pub fn is_service_lost(&self, service: &str) -> bool {
-        let mut servers = self.servers_of(service).filter(|server| !server.is_leaving()).peekable();
-        servers.peek().is_some() && servers.all(|server| server.unreachable_since.is_some())
+    /// Returns how many servers of a service can be reached.
+    pub fn reach(&self, service: &str) -> Reach {
+        let mut reach = Reach::default();
+        for server in self.servers_of(service).filter(|server| !server.is_leaving()) {
+            reach.listed += 1;
+            reach.reached += usize::from(server.unreachable_since.is_none());
+        }
+        reach
     }
 
     /// Records that a server's cache now holds a prompt part.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -51,7 +51,7 @@
 pub use catalog::{
     Account, Catalog, Engine, EngineModel, Limits, RetryMode, Route, RouteTable, Service, Target,
 };
-pub use fleet::{Fleet, LoadReport, Outcome, PromptPartKey, Server, ServerInfo, ServerLoad};
+pub use fleet::{Fleet, LoadReport, Outcome, PromptPartKey, Reach, Server, ServerInfo, ServerLoad};
 pub use helpers::{HelperCandidate, HelperOutcome, Helpers};
 pub use pace::{AnswerTimes, PaceClass, PaceReference, StreamPace};
 pub use place::{Placement, PlacementError, PlacementRequest, PromptPart, place};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -131,6 +131,7 @@
             changed_limits: RefCell::default(),
             limit_changed: Notify::new(),
             lost_services: RefCell::default(),
+            narrow_services: RefCell::default(),
             probed_servers: RefCell::default(),
             server_regained: Notify::new(),
             helpers: RefCell::default(),
@@ -203,6 +204,8 @@
     pub(crate) limit_changed: Notify,
     /// Services of which no server can be reached, and since when.
     pub(crate) lost_services: RefCell<HashMap<Name, MonotonicTime>>,
+    /// Services of which less than half of the servers can be reached, and since when.
+    pub(crate) narrow_services: RefCell<HashMap<Name, MonotonicTime>>,
     /// Servers that are probed until they are reachable again.
     pub(crate) probed_servers: RefCell<HashSet<Name>>,
     /// Notified when an unreachable server is reachable again, as others may be too.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,6 +65,8 @@
     pub blocked_parts: Gauge,
     /// Services of which no server can be reached.
     pub lost_services: Gauge,
+    /// Services of which less than half of the servers are reached.
+    pub narrow_services: Gauge,
     /// Requests handed to other instances, by how they answered.
     pub handed_over: Family<Reason, Counter>,
     /// Requests that other instances handed over, by outcome.
@@ -108,6 +110,7 @@
             table_age: Family::default(),
             blocked_parts: Gauge::default(),
             lost_services: Gauge::default(),
+            narrow_services: Gauge::default(),
             handed_over: Family::default(),
             taken_over: Family::default(),
             limited_servers: Gauge::default(),
@@ -164,6 +167,9 @@
         registry.register("blocked_parts", "Parts of prompts that crash servers", blocked);
         let lost = self.lost_services.clone();
         registry.register("lost_services", "Services of which no server is reached", lost);
+        let narrow = self.narrow_services.clone();
+        let help = "Services of which less than half of the servers are reached";
+        registry.register("narrow_services", help, narrow);
         let handed = self.handed_over.clone();
         registry.register("handed_over", "Requests handed to other instances, by answer", handed);
         let taken = self.taken_over.clone();
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -1,10 +1,13 @@
 //! Which servers and services this instance reaches.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use config::Name;
-use serde_json::json;
+use dispatch::MonotonicTime;
+use serde_json::{Value, json};
 
 use crate::gateway::Gateway;
 
@@ -21,10 +24,10 @@
         self.fleet.borrow_mut().mark_unreachable(server, now);
         let service = self.fleet.borrow().get(server).map(|server| server.info.service.clone());
         if let Some(service) = service {
-            self.note_reachability(&service);
             if self.probed_servers.borrow_mut().insert(server.clone()) {
                 tokio::task::spawn_local(probe_until_reachable(self.clone(), server.clone()));
             }
+            self.note_reachability(&service);
         }
     }
 }
@@ -57,25 +60,53 @@
 }
 
 impl<D> Gateway<D> {
-    /// Logs when a service can no longer be reached at any of its servers, and when it can
-    /// again.
+    /// Logs when a service can no longer be reached at any of its servers, or at less than half
+    /// of them, and when it can again.
     pub(crate) fn note_reachability(&self, service: &str) {
-        let is_lost = self.fleet.borrow().is_service_lost(service);
-        let mut lost = self.lost_services.borrow_mut();
-        let (event, since) = match (is_lost, lost.get(service).copied()) {
+        let impaired = [&self.lost_services, &self.narrow_services];
+        let is_impaired = impaired.iter().any(|services| services.borrow().contains_key(service));
+        if self.probed_servers.borrow().is_empty() && !is_impaired {
+            return;
+        }
+        let reach = self.fleet.borrow().reach(service);
+        let fields = |ms: Option<u64>| {
+            json!({
+                "service": service,
+                "reached": reach.reached,
+                "listed": reach.listed,
+                "lost_ms": ms,
+            })
+        };
+        let names = ("servers_lost", "servers_regained");
+        self.note_impairment(&self.lost_services, service, reach.is_lost(), names, fields);
+        let names = ("servers_narrowed", "servers_widened");
+        self.note_impairment(&self.narrow_services, service, reach.is_narrow(), names, fields);
+        self.metrics.lost_services.set(self.lost_services.borrow().len() as i64);
+        self.metrics.narrow_services.set(self.narrow_services.borrow().len() as i64);
+    }
+
+    /// Logs when a state of a service begins or ends; `names` are those of the two events.
+    fn note_impairment(
+        &self,
+        services: &RefCell<HashMap<Name, MonotonicTime>>,
+        service: &str,
+        is_impaired: bool,
+        names: (&'static str, &'static str),
+        fields: impl Fn(Option<u64>) -> Value,
+    ) {
+        let now = self.now();
+        let mut services = services.borrow_mut();
+        match (is_impaired, services.get(service).copied()) {
             (true, None) => {
-                lost.insert(service.into(), self.now());
-                ("servers_lost", None)
+                services.insert(service.into(), now);
+                self.event_log.write(names.0, now, || fields(None));
             }
             (false, Some(since)) => {
-                lost.remove(service);
-                ("servers_regained", Some(since))
+                services.remove(service);
+                let ms = now.saturating_sub(since).as_millis() as u64;
+                self.event_log.write(names.1, now, || fields(Some(ms)));
             }
-            (true, Some(_)) | (false, None) => return,
-        };
-        self.metrics.lost_services.set(lost.len() as i64);
-        let lost_ms = since.map(|since| self.now().saturating_sub(since).as_millis() as u64);
-        let fields = || json!({ "service": service, "lost_ms": lost_ms });
-        self.event_log.write(event, self.now(), fields);
+            (true, Some(_)) | (false, None) => {}
+        }
     }
 }
