--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 use crate::http_server::{
@@ -122,7 +122,9 @@
     /// Whether all responses say that the server leaves.
     leaving: AtomicBool,
     capacity: Mutex<Option<BrittleCapacity>>,
-    /// The number of requests that run and count towards the capacity.
+    /// The slots of a server that runs few requests at a time, and how long each takes.
+    slots: Mutex<Option<(Arc<Semaphore>, Duration)>>,
+    /// The number of requests that run or wait and count towards the capacity.
     running: AtomicUsize,
     /// When requests were rejected in the last second.
     rejections: Mutex<Vec<Instant>>,
@@ -147,6 +149,7 @@
             rate_limit: Mutex::default(),
             leaving: AtomicBool::new(false),
             capacity: Mutex::default(),
+            slots: Mutex::default(),
             running: AtomicUsize::new(0),
             rejections: Mutex::default(),
             crash: Notify::new(),
@@ -200,6 +203,11 @@
         *self.state.capacity.lock().unwrap() = capacity;
     }
 
+    /// Has the server run so many requests at a time, each for `work`; further ones wait.
+    pub fn set_slots(&self, slots: usize, work: Duration) {
+        *self.state.slots.lock().unwrap() = Some((Arc::new(Semaphore::new(slots)), work));
+    }
+
     /// How often the server has crashed.
     pub fn crashes(&self) -> u64 {
         self.state.crashes.load(Ordering::Relaxed)
@@ -247,9 +255,11 @@
 impl Handler for State {
     async fn handle(&self, request: Request<Incoming>) -> Option<Response<ResponseBody>> {
         let capacity = *self.capacity.lock().unwrap();
-        let mut response = match capacity {
-            None => self.respond(request).await?,
-            Some(capacity) => self.respond_within(capacity, request).await?,
+        let slots = self.slots.lock().unwrap().clone();
+        let mut response = match (capacity, slots) {
+            (None, None) => self.respond(request).await?,
+            (None, Some((slots, work))) => self.respond_in_turn(&slots, work, request).await?,
+            (Some(capacity), _) => self.respond_within(capacity, request).await?,
         };
         let headers = response.headers_mut();
         if let Some(limit) = &*self.rate_limit.lock().unwrap() {
@@ -266,6 +276,27 @@
 }
 
 impl State {
+    /// Responds once a slot is free.
+    async fn respond_in_turn(
+        &self,
+        slots: &Semaphore,
+        work: Duration,
+        request: Request<Incoming>,
+    ) -> Option<Response<ResponseBody>> {
+        let _running = Running::start(&self.running);
+        let _slot = slots.acquire().await.ok()?;
+        tokio::time::sleep(work).await;
+        let mut response = self.respond(request).await?;
+        let free = slots.available_permits();
+        let all = self.running.load(Ordering::SeqCst);
+        let load = match free {
+            0 => format!("1,{},1,100", all.saturating_sub(1)),
+            _ => format!("{all},0,{},100", all + free),
+        };
+        response.headers_mut().insert("x-server-load", load.parse().ok()?);
+        Some(response)
+    }
+
     /// Responds if there is room, and otherwise rejects the request and crashes if that happens
     /// too often.
     async fn respond_within(
