A rejection says that the service is full, not that the own way is narrow

Cause: requests were handed over only where no server is reached. With one left, admission and placing judged by its backlog alone. Class: what one instance sees is taken for the whole, here for capacity.

Change: with less than half of the servers reached, an instance compares its estimate with that for all servers (dispatch::is_detour_faster) and asks up to two other instances; it also asks before it rejects while servers are missing.

--- a/crates/dispatch/benches/place.rs
+++ b/crates/dispatch/benches/place.rs
@@ -67,6 +67,7 @@
             tried: &[],
             priority: 1,
             may_ask: true,
+            ignore_reach: false,
         };
         black_box(place(&fleet, &request, rng.random(), now)).expect("there are servers");
     }
--- a/crates/dispatch/src/helpers.rs
+++ b/crates/dispatch/src/helpers.rs
@@ -28,6 +28,8 @@
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 /// Maximum pause.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
+/// How long a service counts as full after a helper said so.
+const FULL_TIME: Duration = Duration::from_millis(300);
 /// Cost of an instance in another failure domain, in open requests.
 const CROSS_DOMAIN_COST: f64 = 4.0;
 /// Cost of an instance that has not answered lately, in open requests.
@@ -49,6 +51,8 @@
     Answered,
     /// It reaches no server of the service either.
     Lost,
+    /// The servers that it reaches have no room.
+    Full,
     /// It did not send the request, for a reason that says nothing about its servers.
     Declined,
     /// It can't be connected to, or its answer broke off or did not arrive.
@@ -74,6 +78,8 @@
     /// Refusals since the last answer.
     refusals: u32,
     paused_until: MonotonicTime,
+    /// Until when the service counts as full, as helpers say that reach its servers.
+    full_until: MonotonicTime,
     /// Helpers that reach none of its servers.
     lost: HashMap<SocketAddr, LostHelper>,
 }
@@ -128,6 +134,11 @@
             + policy::hash_unit(hash)
     }
 
+    /// Whether helpers said lately that the servers of a service that they reach have no room.
+    pub fn is_full(&self, service: &str, now: MonotonicTime) -> bool {
+        self.services.get(service).is_some_and(|service| now < service.full_until)
+    }
+
     /// Records that a request was handed to a helper.
     pub fn request_sent(&mut self, addr: SocketAddr) {
         self.helpers.entry(addr).or_default().open += 1;
@@ -170,6 +181,7 @@
                     service.paused_until = now + pause;
                 }
             }
+            HelperOutcome::Full => service.full_until = now + FULL_TIME,
             HelperOutcome::Declined => {}
             HelperOutcome::Failed => {
                 helper.avoided_until = now + FAILED_BACKOFF;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 mod budget;
 mod cascade;
 mod catalog;
+mod detour;
 mod fleet;
 mod helpers;
 mod pace;
@@ -51,6 +52,7 @@
 pub use catalog::{
     Account, Catalog, Engine, EngineModel, Limits, RetryMode, Route, RouteTable, Service, Target,
 };
+pub use detour::is_detour_faster;
 pub use fleet::{Fleet, LoadReport, Outcome, PromptPartKey, Reach, Server, ServerInfo, ServerLoad};
 pub use helpers::{HelperCandidate, HelperOutcome, Helpers};
 pub use pace::{AnswerTimes, PaceClass, PaceReference, StreamPace};
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -75,6 +75,8 @@
     pub priority: u8,
     /// Whether servers for which a permit is needed may be chosen.
     pub may_ask: bool,
+    /// Whether servers count as reachable that this instance can't reach.
+    pub ignore_reach: bool,
 }
 
 /// Result of a placement.
@@ -120,6 +122,8 @@
     if candidates.is_empty() {
         return Err(PlacementError::NoServer);
     }
+    let is_unreachable =
+        |server: &Server| server.unreachable_since.is_some() && !request.ignore_reach;
     let prompt = Prompt::new(request);
     let home = home_server(&candidates, request);
     let seed = draw.to_bits();
@@ -141,7 +145,7 @@
             + FAILURE_PENALTY_MS * server.failure_rate(now)
             + RETURN_PENALTY_MS * server.return_fraction(now)
             + if crosses_domain { CROSS_DOMAIN_PENALTY_MS } else { 0.0 }
-            + if server.unreachable_since.is_some() || server.presumed_gone(now) {
+            + if is_unreachable(server) || server.presumed_gone(now) {
                 UNREACHABLE_PENALTY_MS
             } else {
                 0.0
@@ -158,7 +162,7 @@
         estimate_ms,
         prefill_tokens,
         needs_permit: server.needs_permit(),
-        unreachable: server.unreachable_since.is_some(),
+        unreachable: is_unreachable(server),
     })
 }
 
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -38,6 +38,7 @@
         tried: &query.tried,
         priority: query.priority,
         may_ask: !query.no_permits,
+        ignore_reach: false,
     };
     place(fleet, &request, draw, now).map(|placement| placement.server.to_string())
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -7,7 +7,8 @@
 use config::Name;
 use dispatch::{
     Admission, AdmissionDecision, AnswerTimes, Cascade, Outcome, PaceClass, Placement,
-    PlacementError, PlacementRequest, PromptPartKey, RetryMode, Side, Verdict, place,
+    PlacementError, PlacementRequest, PromptPartKey, RetryMode, Side, Verdict, is_detour_faster,
+    place,
 };
 use error::{Kind, Refusal};
 use http::{HeaderMap, Request, Response};
@@ -17,7 +18,9 @@
 use crate::arrival::{Exchange, admit};
 use crate::body::{ResponseBody, refusal_response};
 use crate::gateway::Gateway;
-use crate::handover::{Handover, add_refusal_headers, is_final, read_attempts, set_attempts};
+use crate::handover::{
+    Handover, HandoverReason, add_refusal_headers, is_final, read_attempts, set_attempts,
+};
 use crate::metrics::Metrics;
 use crate::send::{InFlight, MAX_BUFFERED_BODY, PendingResponse, SendOptions, SendResult, Target};
 use crate::wire::Dialect;
@@ -81,6 +84,15 @@
     }
 }
 
+/// What a search for a server takes into account.
+#[derive(Debug, Clone, Copy)]
+struct PlaceQuery {
+    /// Whether servers for which a permit is needed may be chosen.
+    may_ask: bool,
+    /// Whether servers count as reachable that this instance can't reach.
+    ignore_reach: bool,
+}
+
 /// Why a request was not placed.
 #[derive(Debug)]
 enum Unplaced {
@@ -290,18 +302,20 @@
         let mut permit_requests = 0;
         let (placement, permit) = loop {
             let placed = self.place(progress, permit_requests < MAX_PERMIT_REQUESTS);
-            let is_lost = match &placed {
-                Ok(placement) => placement.unreachable,
-                Err(Unplaced::NoneLeft) => !progress.unreachable.is_empty(),
-                Err(Unplaced::NoServer | Unplaced::Rejected(_)) => false,
-            };
-            if is_lost || progress.unreachable.len() >= UNREACHABLE_TO_HAND_OVER {
-                if let Some(helper) = self.choose_helper(progress) {
-                    return Ok(helper);
+            match self.handover_reason(progress, &placed) {
+                // The instance that handed the request over can ask another one.
+                Some(_) if self.handover.is_some() => {
+                    return Err(Rejection::new(Kind::NoServer, TRANSIENT_RETRY_AFTER));
                 }
-                if is_lost {
-                    return Err(self.lost_rejection(progress));
+                Some(reason) => {
+                    if let Some(helper) = self.choose_helper(progress, reason) {
+                        return Ok(helper);
+                    }
+                    if reason == HandoverReason::Lost {
+                        return Err(self.lost_rejection(progress));
+                    }
                 }
+                None => {}
             }
             let placement = placed.map_err(|reason| match reason {
                 Unplaced::NoServer | Unplaced::NoneLeft => {
@@ -338,6 +352,36 @@
         })
     }
 
+    /// Why the request is better sent by another instance, if it is.
+    fn handover_reason(
+        &self,
+        progress: &Progress,
+        placed: &Result<Placement, Unplaced>,
+    ) -> Option<HandoverReason> {
+        let gateway = &self.gateway;
+        let own_ms = match placed {
+            Ok(placement) if placement.unreachable => return Some(HandoverReason::Lost),
+            Err(Unplaced::NoneLeft) if !progress.unreachable.is_empty() => {
+                return Some(HandoverReason::Lost);
+            }
+            Err(Unplaced::NoServer | Unplaced::NoneLeft) => return None,
+            Err(Unplaced::Rejected(_)) => None,
+            Ok(placement) => Some(placement.estimate_ms),
+        };
+        if progress.unreachable.len() >= UNREACHABLE_TO_HAND_OVER {
+            return Some(HandoverReason::Unreachable);
+        }
+        if gateway.probed_servers.borrow().is_empty() {
+            return None;
+        }
+        let reach = gateway.fleet.borrow().reach(&self.service);
+        if self.handover.is_some() && !reach.is_narrow() {
+            return None;
+        }
+        let whole_ms = if reach.is_narrow() { self.estimate_if_reached(progress) } else { None };
+        is_detour_faster(reach, own_ms, whole_ms).then_some(HandoverReason::Narrow)
+    }
+
     /// Why a request is rejected whose servers can't be reached, here or by the instances that
     /// were asked.
     fn lost_rejection(&self, progress: &Progress) -> Rejection {
@@ -345,8 +389,18 @@
         declined.unwrap_or(Rejection::new(Kind::NoServer, TRANSIENT_RETRY_AFTER))
     }
 
-    /// Places the request; `may_ask` if servers for which a permit is needed may be chosen.
-    fn place(&self, progress: &Progress, may_ask: bool) -> Result<Placement, Unplaced> {
+    /// Returns the estimated time to the first byte, in ms, if all servers were reached.
+    fn estimate_if_reached(&self, progress: &Progress) -> Option<f64> {
+        let query = PlaceQuery { may_ask: false, ignore_reach: true };
+        self.find_server(progress, query).ok().map(|placement| placement.estimate_ms)
+    }
+
+    /// Chooses a server for the request.
+    fn find_server(
+        &self,
+        progress: &Progress,
+        query: PlaceQuery,
+    ) -> Result<Placement, PlacementError> {
         let gateway = &self.gateway;
         let now = gateway.now();
         let (version, excluded) = match gateway.rollout_side(&self.service, self.request.session) {
@@ -364,7 +418,8 @@
             parts: &self.request.prompt_parts,
             tried: &progress.tried,
             priority: self.priority(),
-            may_ask,
+            may_ask: query.may_ask,
+            ignore_reach: query.ignore_reach,
         };
         let fleet = gateway.fleet.borrow();
         let random = gateway.random();
@@ -376,6 +431,14 @@
             wanted.tried = &progress.unreachable;
             placement = place(&fleet, &wanted, random, now);
         }
+        placement
+    }
+
+    /// Places the request; `may_ask` if servers for which a permit is needed may be chosen.
+    fn place(&self, progress: &Progress, may_ask: bool) -> Result<Placement, Unplaced> {
+        let now = self.gateway.now();
+        let random = self.gateway.random();
+        let placement = self.find_server(progress, PlaceQuery { may_ask, ignore_reach: false });
         let placement = placement.map_err(|reason| match reason {
             PlacementError::NoServer => Unplaced::NoServer,
             PlacementError::AllTried => Unplaced::NoneLeft,
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -41,14 +41,27 @@
 /// When a refused request may be sent again, in milliseconds.
 const RETRY_AFTER: HeaderName = HeaderName::from_static("lacewingchute-retry-after-ms");
 
-/// Maximum number of helpers that one request is handed to.
+/// Maximum number of helpers that one request is handed to if servers can't be reached.
 const MAX_HELPERS: usize = 8;
+/// The same if it could also be sent, or rejected, here.
+const MAX_DETOURS: usize = 2;
 /// Timeout for connecting to a helper: a live one is a round trip away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of requests taken from other instances whose answers have not begun; bounds
 /// the memory for their bodies.
 const MAX_OPEN: usize = 128;
 
+/// Why a request is handed to another instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HandoverReason {
+    /// No server that may serve it can be reached.
+    Lost,
+    /// Several servers could not be reached; others were not tried yet.
+    Unreachable,
+    /// Few servers can be reached, or those have no room.
+    Narrow,
+}
+
 /// What the instance that handed a request over says about it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Handover {
@@ -185,12 +198,18 @@
 
 impl<D: Dialect> Exchange<D> {
     /// Chooses an instance to hand the request to.
-    pub fn choose_helper(&self, progress: &Progress) -> Option<Target> {
-        if self.handover.is_some() || progress.helpers.len() >= MAX_HELPERS {
-            return None;
-        }
+    pub fn choose_helper(&self, progress: &Progress, reason: HandoverReason) -> Option<Target> {
         let gateway = &self.gateway;
         let now = gateway.now();
+        let (most, is_full) = match reason {
+            HandoverReason::Lost | HandoverReason::Unreachable => (MAX_HELPERS, false),
+            HandoverReason::Narrow => {
+                (MAX_DETOURS, gateway.helpers.borrow().is_full(&self.service, now))
+            }
+        };
+        if self.handover.is_some() || is_full || progress.helpers.len() >= most {
+            return None;
+        }
         let peers = gateway.peers()?;
         let candidates: Vec<HelperCandidate> = {
             let membership = peers.membership();
@@ -246,6 +265,9 @@
             SendResult::Declined(rejection) if is_lost(rejection.kind) => {
                 (HelperOutcome::Lost, "lost")
             }
+            SendResult::Declined(rejection) if rejection.kind == Kind::Overloaded => {
+                (HelperOutcome::Full, "full")
+            }
             SendResult::Declined(_) => (HelperOutcome::Declined, "declined"),
             SendResult::NotRun(_) | SendResult::Lost(_) => (HelperOutcome::Failed, "failed"),
         };
