Instances of a domain that is cut off ask other domains soon

Cause: neighbours were asked first, up to eight for a request, then after 16 refusals nobody for 0.5 s and longer. In a domain of 33 the first requests met neighbours only.

Change: each neighbour that reaches no server makes the other neighbours that have not answered lately less eligible, for up to 5 s, so that after two or three an instance of another domain is asked.

Result: choose_leaves_a_lost_domain_after_few_tries failed before (the first request is refused after eight neighbours) and passes: four tries at most for the first request, 130 in all for 100.

--- a/crates/dispatch/src/helpers.rs
+++ b/crates/dispatch/src/helpers.rs
@@ -34,6 +34,9 @@
 const CROSS_DOMAIN_COST: f64 = 4.0;
 /// Cost of an instance that has not answered lately, in open requests.
 const UNPROVEN_COST: f64 = 6.0;
+/// Cost of an instance of the own domain that has not answered lately, in open requests, for
+/// each other one there that reaches no server: the whole domain may be cut off.
+const LOST_NEIGHBOUR_COST: f64 = 3.0;
 
 /// An instance that may be asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,6 +94,13 @@
     backoff: Duration,
 }
 
+impl LostHelper {
+    /// Whether it reached no server not long ago.
+    fn is_recent(&self, now: MonotonicTime) -> bool {
+        now < self.avoided_until + MAX_LOST_BACKOFF
+    }
+}
+
 impl Helpers {
     /// Chooses a helper for a request to a service; `tried` were asked before. `draw` is a
     /// random number from 0 to 1.
@@ -112,14 +122,26 @@
             let failed_until = self.helpers.get(addr).map(|helper| &helper.avoided_until);
             lost_until.into_iter().chain(failed_until).any(|until| now < *until)
         };
+        let is_lost = |candidate: &&HelperCandidate| {
+            let lost = service.and_then(|service| service.lost.get(&candidate.addr));
+            candidate.local && lost.is_some_and(|lost| lost.is_recent(now))
+        };
+        let lost_neighbours = candidates.iter().filter(is_lost).count();
         let eligible = candidates
             .iter()
             .filter(|candidate| !tried.contains(&candidate.addr) && !is_avoided(&candidate.addr));
-        let costs = eligible.map(|candidate| (self.cost(candidate, draw, now), candidate.addr));
+        let costs = eligible
+            .map(|candidate| (self.cost(candidate, lost_neighbours, draw, now), candidate.addr));
         costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, addr)| addr)
     }
 
-    fn cost(&self, candidate: &HelperCandidate, draw: f64, now: MonotonicTime) -> f64 {
+    fn cost(
+        &self,
+        candidate: &HelperCandidate,
+        lost_neighbours: usize,
+        draw: f64,
+        now: MonotonicTime,
+    ) -> f64 {
         let helper = self.helpers.get(&candidate.addr);
         let open = helper.map_or(0, |helper| helper.open);
         let proven_at = helper.and_then(|helper| helper.proven_at);
@@ -128,9 +150,11 @@
             candidate.addr.to_string().as_bytes(),
             &draw.to_bits().to_le_bytes(),
         ]);
+        let neighbourhood_cost = LOST_NEIGHBOUR_COST * lost_neighbours as f64;
         f64::from(open)
             + if candidate.local { 0.0 } else { CROSS_DOMAIN_COST }
             + if proven { 0.0 } else { UNPROVEN_COST }
+            + if candidate.local && !proven { neighbourhood_cost } else { 0.0 }
             + policy::hash_unit(hash)
     }
 
@@ -167,7 +191,7 @@
                 service.lost.remove(&addr);
             }
             HelperOutcome::Lost => {
-                service.lost.retain(|_, lost| now < lost.avoided_until + MAX_LOST_BACKOFF);
+                service.lost.retain(|_, lost| lost.is_recent(now));
                 let backoff = match service.lost.get(&addr) {
                     Some(lost) => (lost.backoff * 2).min(MAX_LOST_BACKOFF),
                     None => MIN_LOST_BACKOFF,
--- a/crates/dispatch/tests/helpers.rs
+++ b/crates/dispatch/tests/helpers.rs
@@ -142,3 +142,36 @@
     }
     assert!(served >= 900, "{served} of 1,000 requests were served");
 }
+
+/// A whole failure domain reaches no server; instances of other domains do.
+#[test]
+fn choose_leaves_a_lost_domain_after_few_tries() {
+    const LOCAL: u16 = 32;
+    let mut helpers = Helpers::default();
+    let candidates = candidates(LOCAL + 9, LOCAL);
+    let mut tries = Vec::new();
+    for number in 0..100 {
+        let (draw, now) = (f64::from(number % 97) / 97.0, at(100 * number as u64));
+        let mut tried = Vec::new();
+        while let Some(chosen) = helpers.choose(&candidates, "desk", &tried, draw, now)
+            && tried.len() < 8
+        {
+            tried.push(chosen);
+            let outcome = match chosen.port() <= LOCAL {
+                true => HelperOutcome::Lost,
+                false => HelperOutcome::Answered,
+            };
+            helpers.record_outcome(chosen, &"desk".into(), outcome, now);
+            if outcome == HelperOutcome::Answered {
+                break;
+            }
+        }
+        assert!(
+            tried.last().is_some_and(|last| last.port() > LOCAL),
+            "request {number}: {tried:?}"
+        );
+        tries.push(tried.len());
+    }
+    assert!(tries[0] <= 4, "{tries:?}");
+    assert!(tries.iter().sum::<usize>() <= 130, "{tries:?}");
+}
