Tests that fail: one odd row makes a page or a list unreadable

The rows are nested deeply, hold numbers that are too large, ports out of range, other types, bytes that are no text, in all tables of both interfaces; some can't be read even as rows (a key that is no Unicode, a revision that is too large).

Odd values alone cost node nothing but themselves, as before.

--- a/crates/entry/tests/interface.rs
+++ b/crates/entry/tests/interface.rs
@@ -1,21 +1,26 @@
 //! Tests of the callers' interface: three instances with the example routes, on
 //! fakes of the platform and the backend servers.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use bytes::Bytes;
+use config::PieceKey;
 use entry::{Entry, SettingsBuilder};
 use fakes::{DOMAINS, Deployment};
 use http_body_util::Full;
-use publish::Publication;
+use publish::{Publication, wait_until_active};
 use tokio_util::sync::CancellationToken;
 
 const CHAT: &str = "/v1/chat/completions";
 const BOOKING: &str = "/services/booking/bookings";
 const VISIT: &str = r#"{"visit":"8 July","blades":12}"#;
 
+/// Time in which a configuration must be in force everywhere.
+const CONFIG_BOUND: Duration = Duration::from_secs(5);
+
 struct TestCluster {
     deployment: Deployment,
     entries: Vec<Entry>,
@@ -206,3 +211,39 @@
     assert_eq!(reply.status, 200);
     assert!(reply.body.contains("\"tag\""), "{}", reply.body);
 }
+
+/// Other writers have left odd rows and entries; they cost nothing but themselves.
+#[tokio::test(flavor = "multi_thread")]
+async fn odd_rows_cost_only_themselves() {
+    let cluster = TestCluster::start().await;
+    let platform = &cluster.deployment.platform;
+    platform.add_unreadable(fakes::unreadable_entries());
+    for (name, value) in fakes::odd_values() {
+        let value = serde_json::from_slice(&value).unwrap_or_else(|_| "odd".into());
+        for prefix in ["halt/", "bill/", "claim/", "ack/"] {
+            platform.put(&format!("{prefix}odd-{name}"), serde_json::Value::clone(&value));
+        }
+    }
+    // Instances follow the configuration.
+    let client = store::HttpPlatform::new(platform.addr());
+    let removal = Publication {
+        operator: "test".into(),
+        id: "test-2".into(),
+        pieces: BTreeMap::new(),
+        removed: vec![PieceKey::Route("tag".into())],
+        base: None,
+        renew: Vec::new(),
+    };
+    let published = publish::publish(&client, &removal).await.unwrap();
+    let state = wait_until_active(&client, published.number, CONFIG_BOUND, |_| {}).await;
+    assert_eq!(state.acknowledged.len(), 3 + 1, "{state:?}");
+    assert!(state.is_complete(), "{state:?}");
+    for index in 0..3 {
+        let reply = cluster.chat(index, "key-bento", &chat_body("tag", false)).await;
+        assert_eq!(reply.status, 404, "{}", reply.body);
+        assert_eq!(cluster.book(index, &format!("visit-{index}"), VISIT).await.status, 201);
+    }
+    // They follow the list too.
+    let list = store::InstanceList::list(&client).await.unwrap();
+    assert!(list.iter().any(|entry| &*entry.id == "entry-0"), "{list:?}");
+}
--- a/crates/fakes/src/platform_fake.rs
+++ b/crates/fakes/src/platform_fake.rs
@@ -17,6 +17,7 @@
 use crate::http_server::{
     Connections, Handler, ResponseBody, full_body, json_response, read_body, serve,
 };
+use crate::odd_rows::insert_entries;
 
 /// The maximum number of rows in one page of a scan.
 const SCAN_PAGE_ROWS: usize = 500;
@@ -75,6 +76,8 @@
     /// The list as it was last served.
     served_list: Mutex<Vec<ListEntry>>,
     faults: Mutex<PlatformFaults>,
+    /// Entries that can't be read, in JSON, which the list and all pages of a scan contain.
+    unreadable: Mutex<Vec<String>>,
     calls: Mutex<Calls>,
 }
 
@@ -122,6 +125,19 @@
         change(&mut self.state.faults.lock().unwrap());
     }
 
+    /// Adds entries in JSON to the list and to all pages of a scan, whether they can be read or
+    /// not.
+    pub fn add_unreadable(&self, entries: Vec<String>) {
+        self.state.unreadable.lock().unwrap().extend(entries);
+    }
+
+    /// Writes a row of the table.
+    pub fn put(&self, key: &str, value: serde_json::Value) {
+        let mut rows = self.state.rows.lock().unwrap();
+        let version = rows.get(key).map_or(0, |row| row.version) + 1;
+        rows.insert(key.to_owned(), Row { key: key.to_owned(), version, value });
+    }
+
     /// The rows of the table whose keys start with `prefix`.
     pub fn rows(&self, prefix: &str) -> Vec<Row> {
         let rows = self.state.rows.lock().unwrap();
@@ -188,8 +204,8 @@
         match (method, path.as_str()) {
             (Method::POST, "/table/transact") => state.transact(&body, &self.faults),
             (Method::POST, "/table/read") => Some(json_response(200, &state.read(&body)?)),
-            (Method::POST, "/table/scan") => Some(json_response(200, &state.scan(&body)?)),
-            (Method::GET, "/list") => Some(json_response(200, &self.list())),
+            (Method::POST, "/table/scan") => Some(state.list_response(&state.scan(&body)?)),
+            (Method::GET, "/list") => Some(state.list_response(&self.list())),
             (Method::POST, "/rate") if state.ratings_unavailable() => {
                 Some(json_response(503, &"out"))
             }
@@ -232,6 +248,16 @@
         Some(json_response(200, &outcome))
     }
 
+    /// A response with a list, to which the unreadable entries are added.
+    fn list_response(&self, value: &impl serde::Serialize) -> Response<ResponseBody> {
+        let text = serde_json::to_string(value).unwrap_or_default();
+        let text = insert_entries(&text, "[", &self.unreadable.lock().unwrap());
+        let mut response = Response::new(full_body(text));
+        let content_type = http::HeaderValue::from_static("application/json");
+        response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+        response
+    }
+
     fn ratings_unavailable(&self) -> bool {
         self.faults.lock().unwrap().ratings_unavailable
     }
--- a/crates/fakes/src/site_store.rs
+++ b/crates/fakes/src/site_store.rs
@@ -15,7 +15,10 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::http_server::{Connections, Handler, ResponseBody, json_response, read_body, serve};
+use crate::http_server::{
+    Connections, Handler, ResponseBody, full_body, json_response, read_body, serve,
+};
+use crate::odd_rows::insert_entries;
 
 /// Faults to inject into the store.
 #[derive(Debug, Clone, Default)]
@@ -61,6 +64,8 @@
     compacted_revision: u64,
     /// The rows by table and key.
     rows: BTreeMap<(String, String), Row>,
+    /// Rows that can't be read, in JSON, which all pages of a table contain.
+    unreadable: HashMap<String, Vec<String>>,
     /// The number of calls by path.
     calls: HashMap<String, u64>,
     /// The number of open feeds by table.
@@ -99,6 +104,14 @@
         self.state.set(table, key, Some(value.to_vec()));
     }
 
+    /// Adds rows in JSON to all pages of a table, whether they can be read or not.
+    pub fn add_unreadable(&self, table: &str, rows: Vec<String>) {
+        let mut tables = self.state.tables.lock().unwrap();
+        tables.unreadable.entry(table.to_owned()).or_default().extend(rows);
+        drop(tables);
+        self.state.changed.notify_waiters();
+    }
+
     /// Deletes a row.
     pub fn remove(&self, table: &str, key: &str) {
         self.state.set(table, key, None);
@@ -195,7 +208,10 @@
         }
         let query = parse_query(request.uri().query().unwrap_or_default());
         match (request.method().clone(), path.as_str()) {
-            (Method::GET, "/rows-get") => Some(json_response(200, &self.get_rows(&query))),
+            (Method::GET, "/rows-get") => {
+                let table = query.get("table").map(String::as_str).unwrap_or_default();
+                Some(self.page_response(table, &self.get_rows(&query)))
+            }
             (Method::GET, "/rows-feed") => Some(self.feed(&query).await),
             (Method::POST, "/rows-tx") => {
                 let body = read_body(request).await?;
@@ -268,7 +284,20 @@
         }
         let found: Vec<Value> =
             changed.into_iter().map(|(key, row)| row_json(table, key, row)).collect();
-        Some(json_response(200, &json!({ "rows": found, "schema_version": tables.revision })))
+        let page = json!({ "rows": found, "schema_version": tables.revision });
+        drop(tables);
+        Some(self.page_response(table, &page))
+    }
+
+    /// A response with rows of a table.
+    fn page_response(&self, table: &str, page: &Value) -> Response<ResponseBody> {
+        let tables = self.tables.lock().unwrap();
+        let unreadable = tables.unreadable.get(table).map_or(&[][..], Vec::as_slice);
+        let text = insert_entries(&page.to_string(), "\"rows\":[", unreadable);
+        let mut response = Response::new(full_body(text));
+        let content_type = http::HeaderValue::from_static("application/json");
+        response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+        response
     }
 
     /// Applies a transaction if its conditions hold, and returns the status and the body of
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -52,6 +52,8 @@
 //!
 //! - `store out|silent|back|lose-reply|compact|break` makes the store fail, hang or recover,
 //!   leave the next write unanswered, discard its history, or close its connections.
+//! - `odd-rows PREFIX` writes rows that nobody understands to all tables, with keys that begin so,
+//!   and ones that can't be read even as rows, see [`odd_values`] and [`unreadable_entries`].
 //! - `store copy|revert` keeps a copy of all rows, and comes back from it in a new era.
 //! - `feeds TABLE N` waits until `N` feeds of a table are open; `calls PATH MOST` checks
 //!   that the store has received at most so many calls to a path, `calls-reset` counts
@@ -101,7 +103,7 @@
 use dispatch::in_canary;
 use fakes::{
     BrittleCapacity, EndlessPart, EndlessServer, Relay, RelayMode, SiteFault, SiteRequest,
-    SiteRequestLog, SiteServer, SiteStore,
+    SiteRequestLog, SiteServer, SiteStore, odd_values, unreadable_entries,
 };
 use http_body_util::Full;
 use serde_json::{Value, json};
@@ -125,6 +127,9 @@
 const SESSION_REQUESTS: usize = 4;
 /// The pause of a `users` step between two requests of a session.
 const SESSION_PAUSE: Duration = Duration::from_millis(100);
+/// The tables that the program reads.
+const TABLES: [&str; 5] =
+    ["op", "servers", "status", "lacewingchute-members", "lacewingchute-blocked"];
 /// The time between two polls of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -234,6 +239,16 @@
                 let allowed = least.parse()?..=most.parse()?;
                 ensure!(allowed.contains(&count), "it received {count} requests");
             }
+            ["odd-rows", prefix] => {
+                for table in TABLES {
+                    for (name, value) in odd_values() {
+                        self.store.put(table, &format!("{prefix}-{name}"), &value);
+                        let key = format!("rollout/{prefix}-{name}");
+                        self.store.put(table, &key, &value);
+                    }
+                    self.store.add_unreadable(table, unreadable_entries());
+                }
+            }
             ["gone", id] => self.store.remove("servers", id),
             ["back", id] => self.list(id)?,
             ["other", id, new] => self.find_server(id)?.set_id(new),
