An odd row or entry costs itself only

Cause: a page or list was read as one value, so that an entry that can't be read as such (nested beyond the parser's limit, a number or key out of range, bytes that are no text) made the whole unreadable; the reader tried again for ever. In the interface of entry one odd value was enough: an entry of the list, a halt, a bill in statement.

Change: lists are read entry by entry (config::Readable), and entries that can't be read are left out and named in the log, once each, up to a limit. A row whose value can't be read keeps its key and version, so that a claim is never taken for absent.

--- a/crates/cli/src/commands/statement.rs
+++ b/crates/cli/src/commands/statement.rs
@@ -1,6 +1,7 @@
 //! `lacewingchute statement`.
 
 use ledger::{Batch, Bill, ClaimRow, ClaimState, Statement, compute_statement};
+use serde::de::DeserializeOwned;
 use store::{HttpPlatform, Row, Table};
 
 use crate::args::StatementArgs;
@@ -15,7 +16,7 @@
     let platform = HttpPlatform::new(addr);
     let batches = platform.scan_all("bill/").await?;
     let claims = platform.scan_all("claim/").await?;
-    let statement = statement_from_rows(&batches, &claims)?;
+    let statement = statement_from_rows(&batches, &claims);
     if args.json {
         println!("{}", serde_json::to_string(&statement)?);
         return Ok(());
@@ -34,16 +35,16 @@
     Ok(())
 }
 
-/// Computes the statement from the rows of bill batches and claims.
-fn statement_from_rows(batches: &[Row], claims: &[Row]) -> Result<Statement, serde_json::Error> {
+/// Computes the statement from the rows of bill batches and claims. Rows that can't be read are
+/// named on standard error.
+fn statement_from_rows(batches: &[Row], claims: &[Row]) -> Statement {
     let mut bills: Vec<Bill> = Vec::new();
     let mut unresolved = Vec::new();
-    for row in batches {
-        let batch: Batch = serde_json::from_value(row.value.clone())?;
+    for batch in batches.iter().filter_map(read_row::<Batch>) {
         bills.extend(batch.bills);
     }
     for row in claims {
-        let claim: ClaimRow = serde_json::from_value(row.value.clone())?;
+        let Some(claim) = read_row::<ClaimRow>(row) else { continue };
         match claim.state {
             // Calls without a charge are recorded with an amount of 0.
             ClaimState::Done(_, bill) if bill.amount_micro > 0 => bills.push(bill),
@@ -51,5 +52,15 @@
             ClaimState::Sent => unresolved.push(row.key.clone()),
         }
     }
-    Ok(Statement { unresolved, ..compute_statement(bills) })
+    Statement { unresolved, ..compute_statement(bills) }
+}
+
+fn read_row<T: DeserializeOwned>(row: &Row) -> Option<T> {
+    match serde_json::from_value(row.value.clone()) {
+        Ok(value) => Some(value),
+        Err(error) => {
+            eprintln!("row {} can't be read and is left out: {error}", row.key);
+            None
+        }
+    }
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,6 +9,7 @@
 mod file;
 mod head;
 mod model;
+mod readable;
 mod reference;
 
 pub use check::{Diagnostic, check_all};
@@ -19,4 +20,5 @@
     Account, CutOff, Name, OnHalt, Piece, PieceKey, Rollout, Route, RouteKind, Snapshot, Stage,
     Step, Version, WorkClass,
 };
+pub use readable::{Readable, ReportedEntries, UnreadableEntry, parse_lossy, value_or_null};
 pub use reference::{KEYS, KeyDoc, reference_markdown};
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use anyhow::{Context, Result, bail};
-use config::{Account, HEAD_KEY, Head, Manifest, Name, Piece, Route, Snapshot};
+use config::{Account, HEAD_KEY, Head, Manifest, Name, Piece, ReportedEntries, Route, Snapshot};
 use futures::FutureExt;
 use futures::future::BoxFuture;
 use kernel::Service;
@@ -47,6 +47,8 @@
     acknowledged: u64,
     failures: u64,
     failing: bool,
+    /// Halts that can't be read.
+    unreadable: ReportedEntries,
 }
 
 impl Configuration {
@@ -144,8 +146,12 @@
     /// Reads the stored halts and reports them to the core.
     async fn read_halts(&self) -> Result<()> {
         for row in self.shared.platform.scan_all(HALT_PREFIX).await? {
-            let halt: HaltKey = serde_json::from_value(row.value["key"].clone())?;
-            self.shared.router.step(Event::VersionHalted(halt));
+            match serde_json::from_value::<HaltKey>(row.value["key"].clone()) {
+                Ok(halt) => self.shared.router.step(Event::VersionHalted(halt)),
+                Err(error) => {
+                    self.state.lock().unwrap().unreadable.report("halts", &row.key, &error);
+                }
+            }
         }
         Ok(())
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -698,6 +698,9 @@
     }
 }
 
+/// Maximum number of unreadable rows that are remembered; further ones are not logged.
+const MAX_UNREADABLE: usize = 1_000;
+
 /// Rows that were logged as unreadable, so that each is logged once per revision.
 #[derive(Debug, Default)]
 pub struct UnreadableRows {
@@ -708,6 +711,9 @@
 impl UnreadableRows {
     /// Logs an unreadable row, once per revision.
     pub fn log_once<D>(&mut self, gateway: &Gateway<D>, row: &Row, reason: &dyn fmt::Display) {
+        if self.rows.len() >= MAX_UNREADABLE && !self.rows.contains_key(&row.key) {
+            return;
+        }
         if self.rows.insert(row.key.clone(), row.revision) != Some(row.revision) {
             let fields =
                 json!({ "key": row.key, "revision": row.revision, "why": reason.to_string() });
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,14 +1,16 @@
 //! An HTTP client for the platform's services.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
+use config::{Readable, ReportedEntries, parse_lossy};
 use conn::{Pool, SendError};
 use http::{Method, StatusCode};
 use http_body_util::Full;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 
 use crate::list::{InstanceList, ListEntry};
 use crate::table::{Page, Row, StoreError, Table, Transaction, TransactionOutcome};
@@ -26,12 +28,13 @@
 pub struct HttpPlatform {
     addr: SocketAddr,
     pool: Pool,
+    reported: Arc<Mutex<ReportedEntries>>,
 }
 
 impl HttpPlatform {
     /// Creates a client of the platform at `addr`.
     pub fn new(addr: SocketAddr) -> Self {
-        HttpPlatform { addr, pool: Pool::new() }
+        HttpPlatform { addr, pool: Pool::new(), reported: Arc::default() }
     }
 
     async fn post<T: DeserializeOwned>(
@@ -45,7 +48,13 @@
         if status != StatusCode::OK {
             return Err(StoreError::Refused(format!("status {status}")));
         }
-        serde_json::from_slice(&body).map_err(|e| StoreError::Unknown(e.to_string()))
+        parse_lossy(&body).map_err(|e| StoreError::Unknown(e.to_string()))
+    }
+
+    /// Returns the readable entries of a list, and logs the others.
+    fn readable<T>(&self, table: &str, list: Readable<T>) -> Vec<T> {
+        self.reported.lock().unwrap().report_all(table, &list.unreadable);
+        list.entries
     }
 
     async fn call(
@@ -122,17 +131,26 @@
     after: &'a str,
 }
 
+#[derive(Deserialize)]
+struct ScanReply {
+    rows: Readable<Row>,
+    more: bool,
+}
+
 impl Table for HttpPlatform {
     async fn transact(&self, transaction: &Transaction) -> Result<TransactionOutcome, StoreError> {
         self.post("/table/transact", transaction, CALL_TIMEOUT).await
     }
 
     async fn read(&self, keys: &[&str]) -> Result<Vec<Row>, StoreError> {
-        self.post("/table/read", &ReadBody { keys }, CALL_TIMEOUT).await
+        let rows = self.post("/table/read", &ReadBody { keys }, CALL_TIMEOUT).await?;
+        Ok(self.readable("the table", rows))
     }
 
     async fn scan(&self, prefix: &str, after: &str) -> Result<Page, StoreError> {
-        self.post("/table/scan", &ScanBody { prefix, after }, CALL_TIMEOUT).await
+        let body = ScanBody { prefix, after };
+        let page: ScanReply = self.post("/table/scan", &body, CALL_TIMEOUT).await?;
+        Ok(Page { rows: self.readable("the table", page.rows), more: page.more })
     }
 }
 
@@ -162,7 +180,8 @@
         if status != StatusCode::OK {
             return Err(StoreError::Refused(format!("status {status}")));
         }
-        serde_json::from_slice(&body).map_err(|e| StoreError::Unknown(e.to_string()))
+        let list = parse_lossy(&body).map_err(|e| StoreError::Unknown(e.to_string()))?;
+        Ok(self.readable("the list", list))
     }
 }
 
--- a/crates/store/src/table.rs
+++ b/crates/store/src/table.rs
@@ -12,7 +12,8 @@
     pub key: String,
     /// Increases with every write to the key; 0 if the row does not exist.
     pub version: u64,
-    /// The value.
+    /// The value; null if it can't be read.
+    #[serde(deserialize_with = "config::value_or_null")]
     pub value: serde_json::Value,
 }
 
