A refusal proves nothing unless it names the request

Found here, by tests that failed before: - A refusal without an id counted as that of the request: 503 with not_run for a request that had run (refusal_that_names_no_request_proves_nothing).

Change: a response that names no request or another one is never taken as its answer, and what it says of load, rate or pauses is ignored. Headers of the protocol between instances are removed from servers' answers.

Ruled out: the connection of a refusal is not used again, so that the same request never meets its own earlier refusal; the interface of entry demands the id of every response.

The soak has both kinds of refusal among its faults.

--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -39,6 +39,13 @@
     /// Answers 503 with `x-not-executed` and a `retry-after` of so many milliseconds, and does
     /// not execute the request.
     RejectFor(u64),
+    /// Executes the request and answers with the rejection of another one, as if an earlier
+    /// response was written once more.
+    RejectOther,
+    /// Executes the request and answers with a rejection that names no request.
+    RejectUnnamed,
+    /// Executes the request and adds headers of the protocol between instances to its answer.
+    InternalHeaders,
     /// Executes the request and closes the connection without a response.
     Reset,
     /// Executes the request and answers with the id of another request.
@@ -378,6 +385,22 @@
                 response.headers_mut().insert("retry-after", seconds.parse().ok()?);
                 Some(response)
             }
+            Some(SiteFault::RejectOther) => rejection(&server, "another"),
+            Some(SiteFault::RejectUnnamed) => {
+                let mut response = rejection(&server, &id)?;
+                response.headers_mut().remove("x-attempt-id");
+                Some(response)
+            }
+            Some(SiteFault::InternalHeaders) => {
+                let mut response = reply(200, &server, &id, true, full_body("done"));
+                let names = ["refusal", "not-run", "retry-after-ms", "attempts", "config"];
+                for (name, value) in names.into_iter().zip(["no_server", "1", "1", "0", "99"]) {
+                    let name = format!("lacewingchute-{name}");
+                    let name: http::HeaderName = name.parse().ok()?;
+                    response.headers_mut().insert(name, value.parse().ok()?);
+                }
+                Some(response)
+            }
             Some(SiteFault::Reset) => None,
             Some(SiteFault::Hang) => std::future::pending().await,
             Some(SiteFault::Fail) => Some(reply(500, &server, &id, true, full_body("failed"))),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -145,9 +145,9 @@
         };
         gateway.event_log.write("refused", gateway.now(), fields);
         let mut response = refusal_response(&refusal);
-        match is_handover {
-            true => add_refusal_headers(&refusal, config, response.headers_mut()),
-            false => gateway.dialect.add_refusal_headers(&id, response.headers_mut()),
+        gateway.dialect.add_refusal_headers(&id, response.headers_mut());
+        if is_handover {
+            add_refusal_headers(&refusal, config, response.headers_mut());
         }
         response
     })
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -93,17 +93,21 @@
     }
 }
 
-/// Reads the refusal of a helper, if the response is one; `config` is the version of this
-/// instance's configuration.
+/// Whether the response of a helper is its refusal.
+pub(crate) fn is_refusal(headers: &HeaderMap) -> bool {
+    headers.contains_key(&REFUSAL)
+}
+
+/// Reads the refusal of a helper; `config` is the version of this instance's configuration.
 ///
 /// This instance has accepted the request. A helper that finds fault with the request or its
 /// route is right only if it knows a newer configuration.
-pub(crate) fn read_refusal(headers: &HeaderMap, config: u64) -> Option<SendResult> {
-    let name = headers.get(&REFUSAL)?.to_str().ok()?;
-    let kind = Kind::ALL.into_iter().find(|kind| kind.name() == name);
+pub(crate) fn read_refusal(headers: &HeaderMap, config: u64) -> SendResult {
+    let name = headers.get(&REFUSAL).and_then(|value| value.to_str().ok());
+    let kind = Kind::ALL.into_iter().find(|kind| Some(kind.name()) == name);
     let kind = kind.unwrap_or(Kind::BackendFailed);
     if !headers.contains_key(&NOT_RUN) {
-        return Some(SendResult::GivenUp(kind));
+        return SendResult::GivenUp(kind);
     }
     let number = |name: &HeaderName| headers.get(name)?.to_str().ok()?.parse().ok();
     let is_newer = number(&CONFIG).is_some_and(|helper_config| helper_config > config);
@@ -114,7 +118,7 @@
         _ => kind,
     };
     let retry_after = number(&RETRY_AFTER).map(Duration::from_millis);
-    Some(SendResult::Declined(Rejection { kind, retry_after }))
+    SendResult::Declined(Rejection { kind, retry_after })
 }
 
 /// Whether a helper refuses for a reason that lies in the request or the configuration, so that
@@ -141,10 +145,13 @@
     headers.get(&ATTEMPTS)?.to_str().ok()?.parse().ok()
 }
 
-/// Sets or removes the number of servers on which a request may have run when its answer
-/// began.
+/// Sets the number of servers on which a request may have run when its answer began, if another
+/// instance needs it. Headers of this module that come from a server are removed.
 pub(crate) fn set_attempts(attempts: Option<u32>, headers: &mut HeaderMap) {
-    headers.remove(&ATTEMPTS);
+    let names = [REMAINING, ATTEMPTS, CONFIG, RESUME_AFTER, REFUSAL, NOT_RUN, RETRY_AFTER];
+    for name in &names {
+        headers.remove(name);
+    }
     if let Some(attempts) = attempts {
         headers.insert(ATTEMPTS, attempts.into());
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -17,7 +17,7 @@
 use crate::arrival::Exchange;
 use crate::exchange::Rejection;
 use crate::gateway::{Gateway, LostAnswer};
-use crate::handover::read_refusal;
+use crate::handover::{is_refusal, read_refusal};
 use crate::metrics::Metrics;
 use crate::permits::Permit;
 use crate::rollouts::AnswerOrigin;
@@ -365,21 +365,24 @@
         target: &Target,
         sent_at: MonotonicTime,
     ) -> SendResult {
-        if target.is_helper
-            && let Some(result) = read_refusal(&response.head.headers, self.config)
-        {
-            return result;
-        }
         let info = self.gateway.dialect.read_response(&response.head);
+        // A server may send an earlier response once more. Only the id ties one to its request.
+        let is_helpers_refusal = target.is_helper && is_refusal(&response.head.headers);
+        match info.id.as_deref() {
+            Some(id) if id == self.request.id => {}
+            // Instances of earlier builds don't name the request that they refuse.
+            None if is_helpers_refusal => {}
+            Some(_) => return SendResult::Lost("other_request"),
+            None => return SendResult::Lost("not_vouched"),
+        }
+        if is_helpers_refusal {
+            return read_refusal(&response.head.headers, self.config);
+        }
         let now = self.gateway.now();
         if let Some(report) = info.report {
             self.gateway.fleet.borrow_mut().set_report(&target.server, report, now);
         }
         let status = response.head.status;
-        let matches_request = info.id.as_deref().is_none_or(|id| id == self.request.id);
-        if !matches_request {
-            return SendResult::Lost("other_request");
-        }
         if !info.misdirected {
             self.gateway.observe_rate(&target.server, info.rate, sent_at);
             self.gateway.fleet.borrow_mut().set_brittle(&target.server, info.brittle);
@@ -392,7 +395,7 @@
         if info.not_run {
             return SendResult::NotRun("rejected");
         }
-        if info.id.is_none() || !info.sealed || info.encoded || status.is_informational() {
+        if !info.sealed || info.encoded || status.is_informational() {
             return SendResult::Lost("not_vouched");
         }
         let first_byte = now.saturating_sub(sent_at);
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -21,7 +21,7 @@
 //!   its connections open without answering.
 //! - `fault ID KIND [N]` queues a fault for the next request, `always ID KIND [N]` sets one
 //!   for all requests, `always ID none` removes it. `KIND` is one of `reject`, `reject-for`
-//!   (with a time of `N` ms to come back), `reset`, `other-id`, `cut`, `fail`, `hang`,
+//!   (with a time of `N` ms to come back), `reject-other`, `reject-unnamed`, `reset`, `other-id`, `cut`, `fail`, `hang`,
 //!   `unsealed`, `unsure`, `slow`, and for streams `cut-after`, `torn-after` and
 //!   `silent-after`, which apply after event `N` (2 if not given); see [`SiteFault`].
 //!
@@ -905,6 +905,8 @@
     Ok(match kind {
         "reject" => SiteFault::Reject,
         "reject-for" => SiteFault::RejectFor(count),
+        "reject-other" => SiteFault::RejectOther,
+        "reject-unnamed" => SiteFault::RejectUnnamed,
         "reset" => SiteFault::Reset,
         "other-id" => SiteFault::WrongId,
         "cut" => SiteFault::Cut,
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -15,8 +15,10 @@
 /// The duration of a fault, in milliseconds.
 const DURATION_MS: std::ops::Range<u64> = 200..1_500;
 /// Faults of a server that affect a single request.
-const REQUEST_FAULTS: [SiteFault; 11] = [
+const REQUEST_FAULTS: [SiteFault; 13] = [
     SiteFault::Reject,
+    SiteFault::RejectOther,
+    SiteFault::RejectUnnamed,
     SiteFault::RejectFor(600),
     SiteFault::Reset,
     SiteFault::WrongId,
