A stream goes on with its own events only, and ends as complete only when it is

A next server that answers with an error status was handled before.

Change: a stream is continued by an answer of the same media type only. Once its events have ids, an event without one, beside comments, is not passed on; the stream goes on elsewhere behind the last event. The body of a response is truncated unless its sender says that it is complete, so that no end of a task can look like one.

--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -24,6 +24,9 @@
 /// The pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(5);
 
+/// The number of events in a stream of long ones.
+const LONG_EVENTS: u64 = 80;
+
 /// How much longer a slow server takes between two events.
 const SLOW_FACTOR: u32 = 8;
 /// How long a server runs a request before it crashes of it.
@@ -65,6 +68,15 @@
     CutWithinEventAfter(u64),
     /// Sends nothing more after the given event of a stream, and keeps the connection open.
     StallAfter(u64),
+    /// Executes the request and answers 200 with the text of an error, which is no event stream.
+    ErrorText,
+    /// Executes the request and answers with an event stream that holds an error only.
+    ErrorEvent,
+    /// Executes the request and answers with an event stream that holds the head and the text of
+    /// an error response.
+    ErrorHead,
+    /// Answers with a stream of many long events.
+    LongEvents,
     /// Answers with a low value of `x-confidence`.
     LowConfidence,
     /// Takes several times as long between the events of a stream.
@@ -180,6 +192,12 @@
         self.state.queued_faults.lock().unwrap().push(fault);
     }
 
+    /// Removes all queued faults and the one for every request.
+    pub fn clear_faults(&self) {
+        self.state.queued_faults.lock().unwrap().clear();
+        self.set_default_fault(None);
+    }
+
     /// Sets the fault for every request that no queued fault applies to.
     pub fn set_default_fault(&self, fault: Option<SiteFault>) {
         *self.state.default_fault.lock().unwrap() = fault;
@@ -416,6 +434,28 @@
                 let body = StreamBody::new(stream::iter(frames.into_iter().chain(error)));
                 Some(reply(200, &server, &id, true, BodyExt::boxed(body)))
             }
+            Some(SiteFault::ErrorText) => {
+                let mut response = reply(200, &server, &id, true, full_body("overloaded\n\n"));
+                let plain = http::HeaderValue::from_static("text/plain");
+                response.headers_mut().insert(http::header::CONTENT_TYPE, plain);
+                Some(response)
+            }
+            Some(SiteFault::ErrorEvent) => {
+                let event = "event: error\ndata: overloaded\n\n";
+                Some(stream_reply(&server, &id, full_body(event)))
+            }
+            Some(SiteFault::ErrorHead) => {
+                let text = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 10\r\n\r\noverloaded\n\n";
+                Some(stream_reply(&server, &id, full_body(text)))
+            }
+            Some(SiteFault::LongEvents) => {
+                let event =
+                    |number: u64| format!("id: {number}\ndata: {}\n\n", "x".repeat(1 << 18));
+                let frames = (last_event + 1..=LONG_EVENTS)
+                    .map(move |number| Ok::<_, std::io::Error>(Frame::data(event(number).into())));
+                let body = BodyExt::boxed(StreamBody::new(stream::iter(frames)));
+                Some(stream_reply(&server, &id, body))
+            }
             fault if is_stream => Some(event_stream(&server, &id, last_event, fault)),
             _ => Some(reply(200, &server, &id, true, full_body(format!("{id} done by {server}")))),
         }
@@ -484,6 +524,14 @@
     response
 }
 
+/// A response that is an event stream.
+fn stream_reply(server: &str, id: &str, body: ResponseBody) -> Response<ResponseBody> {
+    let mut response = reply(200, server, id, true, body);
+    let content_type = http::HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+    response
+}
+
 /// A stream of the events after `last_event`, up to the one at which `fault` applies.
 fn event_stream(
     server: &str,
@@ -524,7 +572,7 @@
     } else {
         BodyExt::boxed(StreamBody::new(paced))
     };
-    let mut response = reply(200, server, id, true, body);
+    let mut response = stream_reply(server, id, body);
     let confidence = if fault == Some(SiteFault::LowConfidence) { "5" } else { "95" };
     if let Ok(value) = confidence.parse() {
         response.headers_mut().insert("x-confidence", value);
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -37,8 +37,18 @@
 pub enum ResponseBody {
     /// A complete body.
     Full(Option<Bytes>),
-    /// A body that is sent chunk by chunk as it arrives.
-    Stream(mpsc::Receiver<Result<Bytes, Truncated>>),
+    /// A body that is sent chunk by chunk as it arrives. It is truncated unless its sender says
+    /// that it is complete.
+    Stream(mpsc::Receiver<Chunk>),
+}
+
+/// A part of a body that is sent as it arrives.
+#[derive(Debug)]
+pub enum Chunk {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The body is complete.
+    End,
 }
 
 impl ResponseBody {
@@ -61,9 +71,11 @@
             ResponseBody::Full(bytes) => {
                 Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes))))
             }
-            ResponseBody::Stream(chunks) => {
-                chunks.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            ResponseBody::Stream(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
+                Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Chunk::End) => None,
+                None => Some(Err(Truncated)),
+            }),
         }
     }
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -14,6 +14,14 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Whether it only keeps the connection alive: all of its lines are comments.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+}
+
 /// Buffers incoming bytes and yields complete events.
 #[derive(Debug, Default)]
 pub struct EventReader {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,16 +4,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use conn::IncomingResponse;
 use dispatch::{AnswerTimes, Cascade, EscalationContext, Outcome, StreamPace};
 use error::Refusal;
-use http::Response;
+use http::{HeaderValue, Response, header};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::arrival::Exchange;
-use crate::body::{ResponseBody, Truncated};
+use crate::body::{Chunk, ResponseBody};
 use crate::events::{Event, EventReader};
 use crate::exchange::Progress;
 use crate::gateway::Gateway;
@@ -38,6 +37,8 @@
     pace: StreamPace,
     /// Number of requests on the server when the answer began.
     load: Option<u32>,
+    /// The media type of the answer.
+    content_type: Option<HeaderValue>,
 }
 
 /// How an event stream ended.
@@ -49,6 +50,12 @@
 }
 
 impl<D: 'static> EventStream<D> {
+    /// Whether an answer is a stream like this one, rather than an error.
+    fn is_continued_by(&self, answer: &PendingResponse) -> bool {
+        let content_type = answer.response.head.headers.get(header::CONTENT_TYPE);
+        answer.status.is_success() && content_type == self.content_type.as_ref()
+    }
+
     /// The times of the answer so far; `whole` if it has ended.
     fn times(&self, whole: Option<Duration>) -> AnswerTimes {
         let (first_event, pause) = (Some(self.first_byte), self.pace.mean_pause());
@@ -149,7 +156,7 @@
         let mut response = Response::new(ResponseBody::Stream(receiver));
         *response.status_mut() = status;
         *response.headers_mut() = self.response_headers(progress, &headers);
-        response.headers_mut().remove(http::header::CONTENT_LENGTH);
+        response.headers_mut().remove(header::CONTENT_LENGTH);
         let progress = std::mem::take(progress);
         tokio::task::spawn_local(forward_events(self.clone(), progress, stream, first, sender));
         Ok(Some(response))
@@ -191,9 +198,18 @@
         load: Option<u32>,
     ) -> EventStream<D> {
         let (gateway, addr) = (self.gateway.clone(), response.addr());
-        let reader = EventReader::default();
-        let (response, pace) = (Some(response), StreamPace::default());
-        EventStream { gateway, addr, response, reader, in_flight, first_byte, pace, load }
+        let content_type = response.head.headers.get(header::CONTENT_TYPE).cloned();
+        EventStream {
+            gateway,
+            addr,
+            response: Some(response),
+            reader: EventReader::default(),
+            in_flight,
+            first_byte,
+            pace: StreamPace::default(),
+            load,
+            content_type,
+        }
     }
 
     /// The index of a larger model to ask instead, if the confidence of the current one is too
@@ -220,7 +236,7 @@
     mut progress: Progress,
     mut stream: EventStream<D>,
     first: Option<Event>,
-    sender: mpsc::Sender<Result<Bytes, Truncated>>,
+    sender: mpsc::Sender<Chunk>,
 ) {
     let gateway = exchange.gateway.clone();
     gateway.metrics.open_requests.inc();
@@ -248,10 +264,6 @@
             let times = stream.times(None);
             stream.in_flight.compare_pace(&exchange.pace_class(&progress), &times);
         }
-        // Closes the connection without terminating the stream.
-        if sender.try_send(Err(Truncated)).is_err() {
-            log::debug!("{}: the caller stopped reading the stream", exchange.request.id);
-        }
     }
     let outcomes = gateway.metrics.requests_by_origin(exchange.handover.is_some());
     Metrics::count(outcomes, result);
@@ -266,15 +278,20 @@
     progress: &mut Progress,
     stream: &mut EventStream<D>,
     mut next: Option<Event>,
-    sender: &mpsc::Sender<Result<Bytes, Truncated>>,
+    sender: &mpsc::Sender<Chunk>,
 ) -> Result<(), &'static str> {
     loop {
         if let Some(event) = next.take() {
+            if progress.resume_after.is_some() && event.id.is_none() && !event.is_comment() {
+                // The pieces of this stream have ids: the server sent something else.
+                resume(exchange, progress, stream, "foreign_event").await?;
+                continue;
+            }
             let already_sent =
                 event.id.zip(progress.resume_after).is_some_and(|(id, last)| id <= last);
             if !already_sent {
                 progress.resume_after = event.id.or(progress.resume_after);
-                sender.send(Ok(event.bytes)).await.map_err(|_| "caller_left")?;
+                sender.send(Chunk::Data(event.bytes)).await.map_err(|_| "caller_left")?;
             }
         }
         let waiting_since = Instant::now();
@@ -287,7 +304,9 @@
                 }
                 next = Some(event);
             }
-            Err(StreamEnd::Complete) => return Ok(()),
+            Err(StreamEnd::Complete) => {
+                return sender.send(Chunk::End).await.map_err(|_| "caller_left");
+            }
             Err(StreamEnd::Broken(reason)) => resume(exchange, progress, stream, reason).await?,
         }
     }
@@ -324,7 +343,7 @@
                 }
                 exchange.record_lost(progress, in_flight, reason);
             }
-            SendResult::Answered(pending) if pending.status.is_success() => {
+            SendResult::Answered(pending) if stream.is_continued_by(&pending) => {
                 exchange.count_runs(progress, &pending, &in_flight);
                 Metrics::count(&exchange.gateway.metrics.retries, "resumed");
                 let PendingResponse { response, info, first_byte, .. } = *pending;
