--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -77,8 +77,6 @@
     pub may_ask: bool,
     /// Whether servers count as reachable that this instance can't reach.
     pub ignore_reach: bool,
-    /// Whether the requests go to as few servers as can carry them.
-    pub packed: bool,
 }
 
 /// Result of a placement.
@@ -127,9 +125,6 @@
     let is_unreachable =
         |server: &Server| server.unreachable_since.is_some() && !request.ignore_reach;
     let prompt = Prompt::new(request);
-    if let Some(placement) = packed_placement(&candidates, request, now) {
-        return Ok(placement);
-    }
     let home = home_server(&candidates, request);
     let seed = draw.to_bits();
     let mut best: Option<Candidate> = None;
@@ -183,40 +178,6 @@
     server.paused_until(now).max(denied)
 }
 
-/// Fraction of its slots up to which a server gets requests that are packed.
-const PACKED_FRACTION: f64 = 1.0;
-/// Failure rate up to which a server gets requests that are packed.
-const PACKED_FAILURE_RATE: f64 = 0.3;
-
-/// Returns the first server with room, in an order that is the same at all instances.
-fn packed_placement(
-    candidates: &[&Server],
-    request: &PlacementRequest,
-    now: MonotonicTime,
-) -> Option<Placement> {
-    if !request.packed {
-        return None;
-    }
-    let has_room = |server: &&&Server| {
-        !request.tried.contains(&server.info.id)
-            && unavailable_until(server, request, now).is_none()
-            && server.unreachable_since.is_none()
-            && !server.needs_permit()
-            && server.failure_rate(now) < PACKED_FAILURE_RATE
-            && server.load(now) < f64::from(server.info.slots) * PACKED_FRACTION
-    };
-    let server = candidates.iter().filter(has_room).min_by_key(|server| mix(server.id_hash))?;
-    let prompt = Prompt::new(request);
-    let prefill_tokens = prompt.uncached_tokens(server, false, now) * request.work_factor;
-    Some(Placement {
-        server: server.info.id.clone(),
-        estimate_ms: estimate(server, request, prefill_tokens, now),
-        prefill_tokens,
-        needs_permit: false,
-        unreachable: false,
-    })
-}
-
 /// A server with its estimated time and cost.
 struct Candidate<'a> {
     cost: f64,
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -25,10 +25,6 @@
 const SHIFT_START: f64 = 0.52;
 /// Fraction of the duration after which all requests have shifted.
 const SHIFT_END: f64 = 0.66;
-/// Share of the requests that has shifted then.
-const HELD_SHARE: f64 = 0.6;
-/// Fraction of the duration until which this share is held.
-const HOLD_END: f64 = 0.74;
 /// Fraction of the duration after which the order completes even if the old version
 /// still has requests in flight.
 const COMPLETION_DEADLINE: f64 = 0.88;
@@ -167,14 +163,6 @@
         }
     }
 
-    /// Whether answers of several servers of the new version fail, and clearly more often than
-    /// those of the old one.
-    pub fn fails_widely(&self, failing_servers: u32) -> bool {
-        failing_servers >= 2
-            && self.new.bad >= 6
-            && self.new.failure_rate() > FAILURE_RATIO_LIMIT * self.old.failure_rate() + 0.03
-    }
-
     /// Whether the new version is clearly worse than the old one.
     pub fn is_regression(&self, phase: Phase) -> bool {
         let max_rate = FAILURE_RATIO_LIMIT * self.old.failure_rate() + FAILURE_RATE_MARGIN;
@@ -237,9 +225,7 @@
         if progress < SHIFT_START {
             Phase::Canary
         } else if progress < SHIFT_END {
-            Phase::Shifting(HELD_SHARE * (progress - SHIFT_START) / (SHIFT_END - SHIFT_START))
-        } else if progress < HOLD_END {
-            Phase::Shifting(HELD_SHARE)
+            Phase::Shifting((progress - SHIFT_START) / (SHIFT_END - SHIFT_START))
         } else if progress < COMPLETION_DEADLINE {
             Phase::Shifted
         } else {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -420,7 +420,6 @@
             priority: self.priority(),
             may_ask: query.may_ask,
             ignore_reach: query.ignore_reach,
-            packed: version.is_some() && gateway.packs_new_version(&self.service),
         };
         let fleet = gateway.fleet.borrow();
         let random = gateway.random();
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -322,18 +322,8 @@
             let mut stats = tracked.stats(now);
             stats.old_in_flight += self.old_in_flight(&order.service, &order.to);
             let failing_route = self.failing_route(tracked);
-            let failing = tracked
-                .sum_routes(|_| true)
-                .values()
-                .fold(0, |bits, stats| bits | stats.failing_servers)
-                .count_ones();
             let decision = match &failing_route {
                 Some(_) if tracked.rollout.state == RolloutState::InProgress => Decision::RollBack,
-                None if tracked.rollout.state == RolloutState::InProgress
-                    && stats.fails_widely(failing) =>
-                {
-                    Decision::RollBack
-                }
                 _ => tracked.rollout.decide(&stats, now),
             };
             let state = match (tracked.rollout.state, decision) {
@@ -498,14 +488,6 @@
         Some((side, tracked.rollout.order.to.clone()))
     }
 
-    /// Whether requests to the new version of a service go to few of its servers now.
-    pub(crate) fn packs_new_version(&self, service: &str) -> bool {
-        let rollouts = self.rollouts.borrow();
-        let Some(tracked) = rollouts.get(service) else { return false };
-        tracked.rollout.state == RolloutState::InProgress
-            && matches!(tracked.rollout.phase(self.now()), Phase::Shifting(_))
-    }
-
     /// Records an answer for the rollout of its service.
     pub(crate) fn record_rollout_answer(&self, answer: &AnswerOrigin, bad: bool) {
         if let Some(tracked) = self.rollouts.borrow_mut().get_mut(&answer.service) {
@@ -541,11 +523,6 @@
     ) {
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(tracked) = rollouts.get_mut(service) else { return };
-        if tracked.side_of(version) == Side::New
-            && matches!(tracked.rollout.phase(self.now()), Phase::Shifting(_) | Phase::Shifted)
-        {
-            return;
-        }
         if let Some(ratio) = self.paces.borrow().ratio(class, times, self.now()) {
             let side = tracked.side_of(version);
             tracked.own_stats.record_pace(side, ratio);
