Relays of tests forward bytes without Nagle's delay

Cause: the simulation runs in virtual time over real connections through `fakes::Relay`, whose sockets were the only ones without TCP_NODELAY. The end of an answer (head and body are forwarded apart) waited for the delayed acknowledgement of its beginning: 40 ms of real time, in which the virtual clock passes about a second. With the bound 0.2 s narrower the test failed without any load, too.

Ruled out: a poll that the product forgets (polls begin as scheduled), a wake-up that the fake store loses (`enable` comes before the check), load alone (fails alone with a narrower bound).

Change: both sockets of a relayed connection set TCP_NODELAY.

--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -164,6 +164,9 @@
     stop: CancellationToken,
 ) {
     let Ok(server) = TcpStream::connect(opened.target).await else { return };
+    // The end of a message would wait for the delayed acknowledgement of its beginning.
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
     let upstream = forward_bytes(client_read, server_write, state.clone(), opened.changes);
