--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -19,7 +19,7 @@
 use crate::body::{ResponseBody, refusal_response};
 use crate::gateway::Gateway;
 use crate::handover::{
-    Handover, HandoverReason, add_refusal_headers, is_final, read_attempts, set_attempts,
+    AnswerNote, Handover, HandoverReason, add_refusal_headers, is_final, remove_headers,
 };
 use crate::metrics::Metrics;
 use crate::send::{InFlight, MAX_BUFFERED_BODY, PendingResponse, SendOptions, SendResult, Target};
@@ -575,6 +575,7 @@
         };
         self.record_begun();
         let failed = status.is_server_error();
+        let server = in_flight.server.clone();
         self.record_attempt(progress, &in_flight, if failed { "failed" } else { "answered" });
         if !failed {
             let whole = self.gateway.now().saturating_sub(in_flight.sent_at);
@@ -588,7 +589,7 @@
         }
         let mut response = Response::new(ResponseBody::full(body));
         *response.status_mut() = status;
-        *response.headers_mut() = self.response_headers(progress, &headers);
+        *response.headers_mut() = self.response_headers(progress, server, &headers);
         Ok(Some(response))
     }
 
@@ -599,17 +600,24 @@
         pending: &PendingResponse,
         in_flight: &InFlight<D>,
     ) {
-        let runs_elsewhere =
-            in_flight.helper.and_then(|_| read_attempts(&pending.response.head.headers));
-        progress.possible_runs = runs_elsewhere.unwrap_or(progress.possible_runs + 1);
+        let note = in_flight.helper.and_then(|_| AnswerNote::read(&pending.response.head.headers));
+        progress.possible_runs = note.map_or(progress.possible_runs + 1, |note| note.attempts);
     }
 
-    /// Returns the headers of the response to the caller, or to the instance that handed the
-    /// request over.
-    pub fn response_headers(&self, progress: &Progress, headers: &HeaderMap) -> HeaderMap {
+    /// Returns the headers of the response of a server to the caller, or to the instance that
+    /// handed the request over.
+    pub fn response_headers(
+        &self,
+        progress: &Progress,
+        server: Name,
+        headers: &HeaderMap,
+    ) -> HeaderMap {
         let mut headers = self.gateway.dialect.response_headers(headers);
-        let attempts = self.handover.is_some().then_some(progress.possible_runs);
-        set_attempts(attempts, &mut headers);
+        remove_headers(&mut headers);
+        if self.handover.is_some() {
+            let note = AnswerNote { attempts: progress.possible_runs, server: Some(server) };
+            note.add_headers(&mut headers);
+        }
         headers
     }
 
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -40,6 +40,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("lacewingchute-not-run");
 /// When a refused request may be sent again, in milliseconds.
 const RETRY_AFTER: HeaderName = HeaderName::from_static("lacewingchute-retry-after-ms");
+/// The server that answered the request.
+const SERVER: HeaderName = HeaderName::from_static("lacewingchute-server");
 
 /// Maximum number of helpers that one request is handed to if servers can't be reached.
 const MAX_HELPERS: usize = 8;
@@ -140,21 +142,39 @@
     matches!(kind, Kind::NoServer | Kind::NotReady | Kind::Draining)
 }
 
-/// Returns the number of servers on which a request may have run when its answer began.
-pub(crate) fn read_attempts(headers: &HeaderMap) -> Option<u32> {
-    headers.get(&ATTEMPTS)?.to_str().ok()?.parse().ok()
+/// What a helper adds to an answer that it passes on.
+#[derive(Debug)]
+pub(crate) struct AnswerNote {
+    /// The number of servers on which the request may have run when its answer began.
+    pub attempts: u32,
+    /// The server that answered; `None` if the helper's build does not name it.
+    pub server: Option<Name>,
+}
+
+impl AnswerNote {
+    /// Reads the headers of an answer that a helper passes on.
+    pub fn read(headers: &HeaderMap) -> Option<Self> {
+        let attempts = headers.get(&ATTEMPTS)?.to_str().ok()?.parse().ok()?;
+        let server = headers.get(&SERVER).and_then(|value| value.to_str().ok()).map(Name::from);
+        Some(AnswerNote { attempts, server })
+    }
+
+    /// Adds the headers to an answer for the instance that handed the request over.
+    pub fn add_headers(&self, headers: &mut HeaderMap) {
+        headers.insert(ATTEMPTS, self.attempts.into());
+        let server = self.server.as_ref().and_then(|server| HeaderValue::from_str(server).ok());
+        if let Some(server) = server {
+            headers.insert(SERVER, server);
+        }
+    }
 }
 
-/// Sets the number of servers on which a request may have run when its answer began, if another
-/// instance needs it. Headers of this module that come from a server are removed.
-pub(crate) fn set_attempts(attempts: Option<u32>, headers: &mut HeaderMap) {
-    let names = [REMAINING, ATTEMPTS, CONFIG, RESUME_AFTER, REFUSAL, NOT_RUN, RETRY_AFTER];
+/// Removes the headers of this module, which a server must not set.
+pub(crate) fn remove_headers(headers: &mut HeaderMap) {
+    let names = [REMAINING, ATTEMPTS, CONFIG, RESUME_AFTER, REFUSAL, NOT_RUN, RETRY_AFTER, SERVER];
     for name in &names {
         headers.remove(name);
     }
-    if let Some(attempts) = attempts {
-        headers.insert(ATTEMPTS, attempts.into());
-    }
 }
 
 /// Adds the headers by which the other instance recognizes a refusal; `config` is the version of
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -17,7 +17,7 @@
 use crate::arrival::Exchange;
 use crate::exchange::Rejection;
 use crate::gateway::{Gateway, LostAnswer};
-use crate::handover::{is_refusal, read_refusal};
+use crate::handover::{AnswerNote, is_refusal, read_refusal};
 use crate::metrics::Metrics;
 use crate::permits::Permit;
 use crate::rollouts::AnswerOrigin;
@@ -383,7 +383,12 @@
             self.gateway.fleet.borrow_mut().set_report(&target.server, report, now);
         }
         let status = response.head.status;
-        if !info.misdirected {
+        if target.is_helper {
+            let note = AnswerNote::read(&response.head.headers);
+            if let Some(server) = note.and_then(|note| note.server) {
+                self.gateway.observe_notices(&server, &info);
+            }
+        } else if !info.misdirected {
             self.gateway.observe_rate(&target.server, info.rate, sent_at);
             self.gateway.fleet.borrow_mut().set_brittle(&target.server, info.brittle);
             self.gateway.observe_notices(&target.server, &info);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -155,7 +155,8 @@
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
         let mut response = Response::new(ResponseBody::Stream(receiver));
         *response.status_mut() = status;
-        *response.headers_mut() = self.response_headers(progress, &headers);
+        let server = stream.in_flight.server.clone();
+        *response.headers_mut() = self.response_headers(progress, server, &headers);
         response.headers_mut().remove(header::CONTENT_LENGTH);
         let progress = std::mem::take(progress);
         tokio::task::spawn_local(forward_events(self.clone(), progress, stream, first, sender));
