Schedules in which the store comes back from a copy while calls stay open

The fake's `revert` closed all connections. `revert_rows` leaves them and the calls on them, so that a poll of before is answered in the new era, or not at all if the store is silent too.

--- a/crates/fakes/src/site_store.rs
+++ b/crates/fakes/src/site_store.rs
@@ -138,12 +138,16 @@
     /// Comes back from the copy: what was written since is lost, and revisions are given out
     /// again.
     pub fn revert(&self) {
+        self.revert_rows();
+        self.close_connections();
+    }
+
+    /// The same, but connections and calls stay open.
+    pub fn revert_rows(&self) {
         let mut tables = self.state.tables.lock().unwrap();
         tables.era += 1;
         (tables.revision, tables.rows) = tables.copy.clone();
         tables.compacted_revision = tables.revision;
-        drop(tables);
-        self.close_connections();
     }
 
     /// Changes the injected faults.
