--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -614,9 +614,9 @@
     ) -> HeaderMap {
         let mut headers = self.gateway.dialect.response_headers(headers);
         remove_headers(&mut headers);
-        if self.handover.is_some() {
-            let note = AnswerNote { attempts: progress.possible_runs, server: Some(server) };
-            note.add_headers(&mut headers);
+        if let Some(handover) = &self.handover {
+            let server = handover.removes_all_headers().then_some(server);
+            AnswerNote { attempts: progress.possible_runs, server }.add_headers(&mut headers);
         }
         headers
     }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -93,6 +93,12 @@
             resume_after,
         })
     }
+
+    /// Whether the sender removes all headers of this module from an answer; earlier builds, which
+    /// don't tell their configuration, pass those on that they don't know.
+    pub fn removes_all_headers(&self) -> bool {
+        self.config > 0
+    }
 }
 
 /// Whether the response of a helper is its refusal.
@@ -147,7 +153,7 @@
 pub(crate) struct AnswerNote {
     /// The number of servers on which the request may have run when its answer began.
     pub attempts: u32,
-    /// The server that answered; `None` if the helper's build does not name it.
+    /// The server that answered, if both builds know this header.
     pub server: Option<Name>,
 }
 
