Fakes: one function for responses of JSON text

`page_response` of the store and `list_response` of the platform, added with the odd rows, each built the response that `json_response` builds. All three use `json_text_response` now. No behaviour changes.

--- a/crates/fakes/src/http_server.rs
+++ b/crates/fakes/src/http_server.rs
@@ -154,9 +154,15 @@
 
 /// A JSON response.
 pub fn json_response(status: u16, value: &impl serde::Serialize) -> Response<ResponseBody> {
-    let body = serde_json::to_vec(value).unwrap_or_default();
-    let mut response = Response::new(full_body(body));
+    let text = serde_json::to_string(value).unwrap_or_default();
+    let mut response = json_text_response(text);
     *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    response
+}
+
+/// A response with a JSON text and status 200.
+pub fn json_text_response(text: String) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(text));
     let content_type = http::HeaderValue::from_static("application/json");
     response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
     response
--- a/crates/fakes/src/platform_fake.rs
+++ b/crates/fakes/src/platform_fake.rs
@@ -15,7 +15,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::http_server::{
-    Connections, Handler, ResponseBody, full_body, json_response, read_body, serve,
+    Connections, Handler, ResponseBody, full_body, json_response, json_text_response, read_body,
+    serve,
 };
 use crate::odd_rows::insert_entries;
 
@@ -252,10 +253,7 @@
     fn list_response(&self, value: &impl serde::Serialize) -> Response<ResponseBody> {
         let text = serde_json::to_string(value).unwrap_or_default();
         let text = insert_entries(&text, "[", &self.unreadable.lock().unwrap());
-        let mut response = Response::new(full_body(text));
-        let content_type = http::HeaderValue::from_static("application/json");
-        response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
-        response
+        json_text_response(text)
     }
 
     fn ratings_unavailable(&self) -> bool {
--- a/crates/fakes/src/site_store.rs
+++ b/crates/fakes/src/site_store.rs
@@ -16,7 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::http_server::{
-    Connections, Handler, ResponseBody, full_body, json_response, read_body, serve,
+    Connections, Handler, ResponseBody, json_response, json_text_response, read_body, serve,
 };
 use crate::odd_rows::insert_entries;
 
@@ -298,10 +298,7 @@
         let tables = self.tables.lock().unwrap();
         let unreadable = tables.unreadable.get(table).map_or(&[][..], Vec::as_slice);
         let text = insert_entries(&page.to_string(), "\"rows\":[", unreadable);
-        let mut response = Response::new(full_body(text));
-        let content_type = http::HeaderValue::from_static("application/json");
-        response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
-        response
+        json_text_response(text)
     }
 
     /// Applies a transaction if its conditions hold, and returns the status and the body of
