--- a/crates/dispatch/src/poll_schedule.rs
+++ b/crates/dispatch/src/poll_schedule.rs
@@ -121,11 +121,6 @@
         self.resume_at = until;
     }
 
-    /// Returns the end of the last pause.
-    pub fn resume_at(&self) -> MonotonicTime {
-        self.resume_at
-    }
-
     /// Asks for an immediate answer at `at`: changes are missing that no other instance
     /// sends.
     pub fn catch_up(&mut self, at: MonotonicTime) {
