--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -554,7 +554,7 @@
         pending: Box<PendingResponse>,
         mut in_flight: InFlight<D>,
     ) -> Result<Option<Response<ResponseBody>>, Refusal> {
-        self.count_runs(progress, &pending, &in_flight);
+        self.count_runs(progress, &pending);
         if self.route.stream && pending.status.is_success() {
             return self.start_stream(progress, pending, in_flight).await;
         }
@@ -594,14 +594,9 @@
     }
 
     /// Counts the servers on which an answered request may have run.
-    pub fn count_runs(
-        &self,
-        progress: &mut Progress,
-        pending: &PendingResponse,
-        in_flight: &InFlight<D>,
-    ) {
-        let note = in_flight.helper.and_then(|_| AnswerNote::read(&pending.response.head.headers));
-        progress.possible_runs = note.map_or(progress.possible_runs + 1, |note| note.attempts);
+    pub fn count_runs(&self, progress: &mut Progress, pending: &PendingResponse) {
+        let attempts = pending.note.as_ref().map(|note| note.attempts);
+        progress.possible_runs = attempts.unwrap_or(progress.possible_runs + 1);
     }
 
     /// Returns the headers of the response of a server to the caller, or to the instance that
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -1,9 +1,9 @@
-//! Requests that an instance without a way to the servers hands to another one.
+//! Requests that an instance with no way, or a narrow one, to the servers hands to another one.
 //!
 //! The other instance, the helper, handles such a request like one of its own callers, but
 //! never hands it on again. It is sent with its caller's headers, over HTTP at the address
 //! for messages between instances; the headers of this module are added. The answer says
-//! whether a request that was refused may have run.
+//! whether a request that was refused may have run, and which server answered.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -206,6 +206,8 @@
     pub info: ResponseInfo,
     pub status: StatusCode,
     pub first_byte: Duration,
+    /// What the helper adds that passes it on, if one does.
+    pub note: Option<AnswerNote>,
 }
 
 impl<D: Dialect> Exchange<D> {
@@ -383,10 +385,11 @@
             self.gateway.fleet.borrow_mut().set_report(&target.server, report, now);
         }
         let status = response.head.status;
+        let mut note = None;
         if target.is_helper {
-            let note = AnswerNote::read(&response.head.headers);
-            if let Some(server) = note.and_then(|note| note.server) {
-                self.gateway.observe_notices(&server, &info);
+            note = AnswerNote::read(&response.head.headers);
+            if let Some(server) = note.as_ref().and_then(|note| note.server.as_ref()) {
+                self.gateway.observe_notices(server, &info);
             }
         } else if !info.misdirected {
             self.gateway.observe_rate(&target.server, info.rate, sent_at);
@@ -404,7 +407,8 @@
             return SendResult::Lost("not_vouched");
         }
         let first_byte = now.saturating_sub(sent_at);
-        SendResult::Answered(Box::new(PendingResponse { response, info, status, first_byte }))
+        let pending = PendingResponse { response, info, status, first_byte, note };
+        SendResult::Answered(Box::new(pending))
     }
 }
 
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -106,7 +106,7 @@
         pending: Box<PendingResponse>,
         in_flight: InFlight<D>,
     ) -> Result<Option<Response<ResponseBody>>, Refusal> {
-        let PendingResponse { response, info, status, first_byte } = *pending;
+        let PendingResponse { response, info, status, first_byte, .. } = *pending;
         // The helper has judged an answer that it passes on.
         let mut larger_model = match in_flight.helper {
             Some(_) => None,
@@ -345,7 +345,7 @@
                 exchange.record_lost(progress, in_flight, reason);
             }
             SendResult::Answered(pending) if stream.is_continued_by(&pending) => {
-                exchange.count_runs(progress, &pending, &in_flight);
+                exchange.count_runs(progress, &pending);
                 Metrics::count(&exchange.gateway.metrics.retries, "resumed");
                 let PendingResponse { response, info, first_byte, .. } = *pending;
                 let load = info.report.map(|report| report.running);
