Test that servers can't name themselves to instances

`SiteFault::InternalHeaders` sends the headers of the protocol between instances, but not `lacewingchute-server`, which added. refusals.rs checks that none of them reaches the caller.

--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -411,8 +411,10 @@
             }
             Some(SiteFault::InternalHeaders) => {
                 let mut response = reply(200, &server, &id, true, full_body("done"));
-                let names = ["refusal", "not-run", "retry-after-ms", "attempts", "config"];
-                for (name, value) in names.into_iter().zip(["no_server", "1", "1", "0", "99"]) {
+                let names =
+                    ["refusal", "not-run", "retry-after-ms", "attempts", "config", "server"];
+                let values = ["no_server", "1", "1", "0", "99", "other"];
+                for (name, value) in names.into_iter().zip(values) {
                     let name = format!("lacewingchute-{name}");
                     let name: http::HeaderName = name.parse().ok()?;
                     response.headers_mut().insert(name, value.parse().ok()?);
