--- a/tests/runner/node.rs
+++ b/tests/runner/node.rs
@@ -1,14 +1,14 @@
 //! Runs the program as a separate process, configured by a settings file.
 
 use std::io::{BufRead, BufReader};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
+use fakes::unique_ip;
 use http_body_util::Full;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -119,7 +119,7 @@
 
     /// Starts the instance.
     pub fn start(self) -> Result<Node> {
-        let ip = unique_loopback_ip();
+        let ip = unique_ip();
         let at = |port| SocketAddr::new(ip, port);
         let (frontend, readiness, peers) = (at(7_001), at(7_002), at(7_003));
         let settings = json!({
@@ -294,15 +294,6 @@
     Ok(Reply { status, complete, body, headers })
 }
 
-/// Returns a loopback address that no other instance of any test uses. A free port of a
-/// shared address could be taken by another test before the instance listens on it.
-fn unique_loopback_ip() -> IpAddr {
-    static COUNTER: AtomicU16 = AtomicU16::new(1);
-    let [high, low] = COUNTER.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let test_process = std::process::id() % 200 + 20;
-    Ipv4Addr::new(127, test_process as u8, high, low).into()
-}
-
 /// Sends bytes on a new connection and reads until it is closed.
 pub async fn exchange_raw(addr: SocketAddr, text: &str) -> Result<String> {
     let mut stream = tokio::net::TcpStream::connect(addr).await?;
