Instances log when servers become brittle, and whether rejected requests had permits

`server_brittle` and `brittle_servers` say what an instance knows; an entry of a send has `permit`; `brittle_rejections_total` counts by it. No decision changes.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -539,11 +539,15 @@
         }
     }
 
-    /// Records whether a server says that it is brittle.
-    pub fn set_brittle(&mut self, id: &str, brittle: bool) {
-        if let Some(server) = self.get_mut(id) {
-            server.brittle = brittle;
-        }
+    /// Records whether a server says that it is brittle; returns whether this is news.
+    pub fn set_brittle(&mut self, id: &str, brittle: bool) -> bool {
+        let Some(server) = self.get_mut(id) else { return false };
+        std::mem::replace(&mut server.brittle, brittle) != brittle
+    }
+
+    /// Returns the servers that are brittle.
+    pub fn brittle_servers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.iter().filter(|server| server.brittle)
     }
 
     /// Returns the servers that limit the rate of their requests.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -646,6 +646,9 @@
         if let Some(rate) = in_flight.rate_limit {
             entry["limit"] = json!(rate);
         }
+        if in_flight.has_permit() {
+            entry["permit"] = json!(true);
+        }
         if in_flight.helper.is_some() {
             entry["handed_over"] = json!(true);
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -73,8 +73,12 @@
     pub taken_over: Family<Reason, Counter>,
     /// Servers that limit the rate of their requests.
     pub limited_servers: Gauge,
+    /// Servers that say that they are brittle.
+    pub brittle_servers: Gauge,
     /// Permits asked for by answer.
     pub permits: Family<Reason, Counter>,
+    /// Requests that brittle servers rejected, by whether a permit had been issued for them.
+    pub brittle_rejections: Family<Reason, Counter>,
     /// Rate limits in answers of servers that could not be read.
     pub invalid_rate_limits: Counter,
     /// Era of the store, if it has changed.
@@ -114,7 +118,9 @@
             handed_over: Family::default(),
             taken_over: Family::default(),
             limited_servers: Gauge::default(),
+            brittle_servers: Gauge::default(),
             permits: Family::default(),
+            brittle_rejections: Family::default(),
             invalid_rate_limits: Counter::default(),
             store_era: Gauge::default(),
             pauses: Counter::default(),
@@ -176,8 +182,13 @@
         registry.register("taken_over", "Requests taken for other instances, by end", taken);
         let limited = self.limited_servers.clone();
         registry.register("limited_servers", "Servers that limit their rate", limited);
+        let brittle = self.brittle_servers.clone();
+        registry.register("brittle_servers", "Servers that say that they are brittle", brittle);
         let permits = self.permits.clone();
         registry.register("permits", "Permits asked for, by answer", permits);
+        let rejections = self.brittle_rejections.clone();
+        let help = "Requests that brittle servers rejected, with or without a permit";
+        registry.register("brittle_rejections", help, rejections);
         let invalid = self.invalid_rate_limits.clone();
         registry.register("invalid_rate_limits", "Rate limits that are no number", invalid);
         let era = self.store_era.clone();
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -27,6 +27,17 @@
         }
     }
 
+    /// Records whether an answer says that its server is brittle.
+    pub(crate) fn observe_brittleness(&self, server: &str, brittle: bool) {
+        if !self.fleet.borrow_mut().set_brittle(server, brittle) {
+            return;
+        }
+        let count = self.fleet.borrow().brittle_servers().count();
+        self.metrics.brittle_servers.set(count as i64);
+        let fields = || json!({ "server": server, "brittle": brittle });
+        self.event_log.write("server_brittle", self.now(), fields);
+    }
+
     fn pause_server(&self, server: &str, pause: Duration) {
         let now = self.now();
         let time = pause.saturating_add(pause.mul_f64(MAX_PAUSE_JITTER * self.random()));
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -111,6 +111,23 @@
         self.gateway.fleet.borrow_mut().prefill_done(&self.server, prefill_tokens);
     }
 
+    /// Records that the server had no room for the request.
+    fn record_rejection(&mut self) {
+        let fleet = self.gateway.fleet.borrow();
+        if fleet.get(&self.server).is_some_and(|server| server.brittle) {
+            let permit = if self.permit.is_some() { "permit" } else { "no_permit" };
+            Metrics::count(&self.gateway.metrics.brittle_rejections, permit);
+        }
+        if let Some(permit) = &mut self.permit {
+            permit.set_rejected();
+        }
+    }
+
+    /// Whether a permit was issued for the request.
+    pub fn has_permit(&self) -> bool {
+        self.permit.is_some()
+    }
+
     /// Ends the request. A success or failure also counts in a rollout of the service.
     pub fn end(mut self, outcome: Outcome) {
         self.record_outcome(outcome);
@@ -254,8 +271,8 @@
         {
             self.record_in_budget(target);
         }
-        if let (SendResult::NotRun("rejected"), Some(permit)) = (&result, &mut in_flight.permit) {
-            permit.set_rejected();
+        if let SendResult::NotRun("rejected") = result {
+            in_flight.record_rejection();
         }
         match result {
             SendResult::Lost("silent" | "dark") => self.gateway.pool.evict(target.addr),
@@ -393,7 +410,7 @@
             }
         } else if !info.misdirected {
             self.gateway.observe_rate(&target.server, info.rate, sent_at);
-            self.gateway.fleet.borrow_mut().set_brittle(&target.server, info.brittle);
+            self.gateway.observe_brittleness(&target.server, info.brittle);
             self.gateway.observe_notices(&target.server, &info);
         }
         if info.misdirected {
