Brittleness is a state of a service, told to all instances

Callers saw (test): 502 for 903 of 1,532 requests, as brittle servers crashed 133 to 180 times of 4 allowed (24 instances, 24 servers, 1.6 times the load of their slots).

Cause: an answer that names a brittle server was taken for knowledge of that server at the instance that got the answer. In calm traffic an instance hears from servers of its own failure domain only; load then drove the requests of all instances to servers that none of them took for brittle, without permits. Class: known to one instance about one server, needed by all about the service. Ruled out as the main cause: the hub's count (67 rejections with a permit).

Change: `dispatch::Brittleness` takes servers of a service that have not said for brittle once one has, until they answer otherwise; a later incarnation too. A notice holds for 30 s without a confirmation. News of servers (`gateway::server_news`) go to the hub and from there to all instances at once, again after 0.25 s, and from hubs each second while they last, with rate limits, which were told once only; instances that start get them with the greeting. The number of rejections in the header is read. Builds before this one ignore the message.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -8,6 +8,7 @@
 use policy::{hash_parts, mix};
 
 use crate::MonotonicTime;
+use crate::brittleness::{BrittleNotice, Brittleness};
 use crate::rate_limit::{PRIORITY_CLASSES, RateLimit, RateNotice, priority_class};
 
 /// Decay time of the load that a server's report attributes to other instances, in
@@ -119,8 +120,9 @@
     pub rate_limit: RateLimit,
     /// Until when permits for it are denied, by class of priority.
     denied_until: [MonotonicTime; PRIORITY_CLASSES],
-    /// Whether it is brittle: having to reject requests makes it crash.
-    pub brittle: bool,
+    /// Number of rejections in a second that it survives, if it is brittle: having to reject
+    /// more makes it crash.
+    pub max_rejections: Option<u32>,
     /// Whether it said that it shuts down, itself or in an entry; a later entry may be older.
     said_leaving: bool,
     /// Whether another server answered at its address.
@@ -145,7 +147,7 @@
             expired_at: None,
             rate_limit: RateLimit::default(),
             denied_until: [MonotonicTime::ZERO; PRIORITY_CLASSES],
-            brittle: false,
+            max_rejections: None,
             said_leaving: false,
             displaced: false,
             paused_until: None,
@@ -202,9 +204,14 @@
         self.recent_failures * decay(now, self.failures_at, FAILURE_DECAY_S)
     }
 
+    /// Whether having to reject requests makes the server crash.
+    pub fn is_brittle(&self) -> bool {
+        self.max_rejections.is_some()
+    }
+
     /// Whether requests to the server need a permit.
     pub fn needs_permit(&self) -> bool {
-        self.rate_limit.rate.is_some() || self.brittle
+        self.rate_limit.rate.is_some() || self.is_brittle()
     }
 
     /// Until when permits for requests of this priority are denied, if they are.
@@ -317,6 +324,7 @@
     /// Start times of the servers that said that they leave, by id, also of those that are no
     /// longer listed: an older entry may be listed again.
     leavers: HashMap<Name, u64>,
+    brittleness: Brittleness,
 }
 
 impl Fleet {
@@ -331,6 +339,7 @@
         if self.get(&info.id).is_some_and(|known| known.info.service != info.service) {
             self.remove(&info.id);
         }
+        let max_rejections = self.brittleness.max_rejections(&info.service, &info.id);
         match self.get_mut(&info.id) {
             Some(server) if server.info.started_at_ms == info.started_at_ms => {
                 server.info = info;
@@ -338,12 +347,14 @@
                 server.displaced = false;
                 server.said_leaving |= said_leaving;
             }
-            Some(server) => *server = Server { said_leaving, ..Server::new(info) },
+            Some(server) => {
+                *server = Server { said_leaving, max_rejections, ..Server::new(info) };
+            }
             None => {
                 let position = self.servers.len();
                 self.services.entry(info.service.clone()).or_default().push(position);
                 self.positions.insert(info.id.clone(), position);
-                self.servers.push(Server { said_leaving, ..Server::new(info) });
+                self.servers.push(Server { said_leaving, max_rejections, ..Server::new(info) });
             }
         }
     }
@@ -539,15 +550,44 @@
         }
     }
 
-    /// Records whether a server says that it is brittle; returns whether this is news.
-    pub fn set_brittle(&mut self, id: &str, brittle: bool) -> bool {
-        let Some(server) = self.get_mut(id) else { return false };
-        std::mem::replace(&mut server.brittle, brittle) != brittle
+    /// Records whether a server of a service says that it is brittle. Returns whether this
+    /// changes what is known of it or of other servers.
+    pub fn record_brittleness(
+        &mut self,
+        service: &Name,
+        server: &Name,
+        notice: BrittleNotice,
+    ) -> bool {
+        let changed = self.brittleness.record(service, server, notice);
+        if changed {
+            self.apply_brittleness(service);
+        }
+        changed
+    }
+
+    /// Forgets what was said about brittle servers and not confirmed for long.
+    pub fn expire_brittleness(&mut self, now: MonotonicTime) {
+        for service in self.brittleness.expire(now) {
+            self.apply_brittleness(&service);
+        }
+    }
+
+    fn apply_brittleness(&mut self, service: &str) {
+        for position in self.services.get(service).into_iter().flatten() {
+            if let Some(server) = self.servers.get_mut(*position) {
+                server.max_rejections = self.brittleness.max_rejections(service, &server.info.id);
+            }
+        }
+    }
+
+    /// What is known of the services that have brittle servers.
+    pub fn brittleness(&self) -> &Brittleness {
+        &self.brittleness
     }
 
     /// Returns the servers that are brittle.
     pub fn brittle_servers(&self) -> impl Iterator<Item = &Server> {
-        self.servers.iter().filter(|server| server.brittle)
+        self.servers.iter().filter(|server| server.is_brittle())
     }
 
     /// Returns the servers that limit the rate of their requests.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,8 @@
 //!   each server which answers them);
 //! - [`PermitIssuer`]: whether a request may go to a server that limits its rate (limits
 //!   that all instances share);
+//! - [`Brittleness`]: which servers are brittle (services whose servers become so together,
+//!   of which an instance hears from few);
 //! - [`SlotIssuer`]: whether a request may go to a brittle server (slots that all instances
 //!   share);
 //! - [`Helpers`]: which instance sends a request on behalf of this one (links to the
@@ -26,6 +28,7 @@
 
 mod admission;
 mod blame;
+mod brittleness;
 mod budget;
 mod cascade;
 mod catalog;
@@ -47,6 +50,7 @@
 pub use blame::{
     Blame, BlameChange, BlameReport, BlockReport, CrashedRequest, MergeOutcome, Verdict,
 };
+pub use brittleness::{BrittleNotice, Brittleness};
 pub use budget::RetryBudget;
 pub use cascade::{Cascade, EscalationContext, Pressure};
 pub use catalog::{
--- a/crates/gateway/src/era_support.rs
+++ b/crates/gateway/src/era_support.rs
@@ -239,7 +239,8 @@
             | Message::RateLimits(_)
             | Message::PermitRequest(_)
             | Message::PermitReply(_)
-            | Message::PermitRelease(_) => None,
+            | Message::PermitRelease(_)
+            | Message::ServerReports(_) => None,
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,9 +24,9 @@
 use crate::freshness::Freshness;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
-use crate::rate_limits::ChangedLimits;
 use crate::reachability::LinkSuspicion;
 use crate::rollouts::{AnswerOrigin, TrackedRollout};
+use crate::server_news::NewsDesk;
 
 /// A request is blocked after this many servers crashed while running it.
 ///
@@ -129,8 +129,8 @@
             paces: RefCell::default(),
             rollouts: RefCell::default(),
             rollout_started: Notify::new(),
-            changed_limits: RefCell::default(),
-            limit_changed: Notify::new(),
+            news_desk: RefCell::default(),
+            server_news: Notify::new(),
             lost_services: RefCell::default(),
             narrow_services: RefCell::default(),
             probed_servers: RefCell::default(),
@@ -200,10 +200,10 @@
     pub(crate) rollouts: RefCell<HashMap<Name, TrackedRollout>>,
     /// Notified when an order becomes known.
     pub(crate) rollout_started: Notify,
-    /// Servers whose rate limit changed and was not told to the other instances yet.
-    pub(crate) changed_limits: RefCell<ChangedLimits>,
-    /// Notified when there is one.
-    pub(crate) limit_changed: Notify,
+    /// What servers said of themselves and was not told to the other instances yet.
+    pub(crate) news_desk: RefCell<NewsDesk>,
+    /// Notified when there are news of servers.
+    pub(crate) server_news: Notify,
     /// Services of which no server can be reached, and since when.
     pub(crate) lost_services: RefCell<HashMap<Name, MonotonicTime>>,
     /// Services of which less than half of the servers can be reached, and since when.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod revision;
 mod rollouts;
 mod send;
+mod server_news;
 mod session_sharing;
 mod status;
 mod stream;
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -1,7 +1,10 @@
-//! What servers say of themselves in their answers: that they shut down, or want a pause.
+//! What servers say of themselves in their answers: that they shut down, are brittle, or want a
+//! pause.
 
 use std::time::Duration;
 
+use config::Name;
+use dispatch::{BrittleNotice, MonotonicTime};
 use serde_json::json;
 
 use crate::gateway::Gateway;
@@ -12,8 +15,16 @@
 const MAX_PAUSE_JITTER: f64 = 0.25;
 
 impl<D> Gateway<D> {
-    /// Records what an answer says about its server.
-    pub(crate) fn observe_notices(&self, server: &str, info: &ResponseInfo) {
+    /// Records what the answer to a request sent at `sent_at` says about its server, which may
+    /// have reached this instance through another one.
+    pub(crate) fn observe_notices(
+        &self,
+        server: &Name,
+        info: &ResponseInfo,
+        sent_at: MonotonicTime,
+    ) {
+        self.observe_rate(server, info.rate, sent_at);
+        self.observe_brittleness(server, info.max_rejections, sent_at);
         if info.invalid_notice {
             self.metrics.invalid_notices.inc();
             self.event_log.write("notice_invalid", self.now(), || json!({ "server": server }));
@@ -28,14 +39,55 @@
     }
 
     /// Records whether an answer says that its server is brittle.
-    pub(crate) fn observe_brittleness(&self, server: &str, brittle: bool) {
-        if !self.fleet.borrow_mut().set_brittle(server, brittle) {
-            return;
+    fn observe_brittleness(
+        &self,
+        server: &Name,
+        max_rejections: Option<u32>,
+        sent_at: MonotonicTime,
+    ) {
+        let service = self.fleet.borrow().get(server).map(|server| server.info.service.clone());
+        let Some(service) = service else { return };
+        let as_of = if max_rejections.is_some() { self.now() } else { sent_at };
+        if max_rejections.is_some() {
+            self.note_heard_brittle(&service);
         }
+        if self.record_brittleness(&service, server, BrittleNotice { max_rejections, as_of }) {
+            self.tell_server_news(server, true);
+        }
+    }
+
+    /// Records whether a server is brittle; returns whether this is news.
+    pub(crate) fn record_brittleness(
+        &self,
+        service: &Name,
+        server: &Name,
+        notice: BrittleNotice,
+    ) -> bool {
+        if !self.fleet.borrow_mut().record_brittleness(service, server, notice) {
+            return false;
+        }
+        self.count_brittle_servers();
+        let fields = || {
+            json!({
+                "service": service,
+                "server": server,
+                "brittle": notice.max_rejections.is_some(),
+                "max_rejections": notice.max_rejections,
+            })
+        };
+        self.event_log.write("server_brittle", self.now(), fields);
+        true
+    }
+
+    /// Forgets what was said about brittle servers and not confirmed for long.
+    pub(crate) fn expire_brittleness(&self) {
+        self.fleet.borrow_mut().expire_brittleness(self.now());
+        self.count_brittle_servers();
+    }
+
+    fn count_brittle_servers(&self) {
         let count = self.fleet.borrow().brittle_servers().count();
         self.metrics.brittle_servers.set(count as i64);
-        let fields = || json!({ "server": server, "brittle": brittle });
-        self.event_log.write("server_brittle", self.now(), fields);
     }
 
     fn pause_server(&self, server: &str, pause: Duration) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,6 +28,7 @@
 use crate::rate_limits::RateReport;
 use crate::revision::era;
 use crate::rollouts::Coverage;
+use crate::server_news::ServerReport;
 use crate::session_sharing::SessionOutboxes;
 use crate::table::TableCopy;
 use crate::updates::{KnownRevision, ReceivedUpdate, TableUpdate};
@@ -147,6 +148,8 @@
     PermitRelease(PermitRelease),
     /// Answers of a rollout by route.
     Routes(RouteReport),
+    /// What servers say of themselves.
+    ServerReports(Vec<ServerReport>),
 }
 
 impl Peers {
@@ -353,7 +356,7 @@
         tokio::task::spawn_local(self.clone().send_loads(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_answers(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_blame(gateway.clone()));
-        tokio::task::spawn_local(self.clone().send_rate_limits(gateway.clone()));
+        tokio::task::spawn_local(self.clone().send_server_news(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_sessions(gateway.clone()));
         tokio::task::spawn_local(self.clone().learn_era_support(gateway.clone()));
         tokio::task::spawn_local(self.send_digests(gateway));
@@ -498,10 +501,7 @@
                     if !report.is_empty() {
                         self.send(&Message::Blame(report), &[from]).await;
                     }
-                    let limits = gateway.rate_reports();
-                    if !limits.is_empty() {
-                        self.send(&Message::RateLimits(limits), &[from]).await;
-                    }
+                    self.send_reports(&gateway.lasting_reports(), &[from]).await;
                 }
                 let answers = self.membership.borrow_mut().handle(message, now);
                 self.send_envelopes(answers).await;
@@ -512,6 +512,10 @@
                 let from_outside = !self.membership.borrow().is_neighbour(&from);
                 self.apply_rate_limits(gateway, reports, from_outside);
             }
+            Message::ServerReports(reports) => {
+                let from_outside = !self.membership.borrow().is_neighbour(&from);
+                self.apply_server_reports(gateway, &reports, from_outside);
+            }
             Message::PermitRequest(request) => {
                 let reply = self.decide_permit(gateway, request);
                 self.send(&Message::PermitReply(reply), &[from]).await;
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -160,7 +160,7 @@
                 priority,
                 domain: domain.clone(),
                 limit: RateReport::new(server, self.now()),
-                slots: server.brittle.then_some(server.info.slots),
+                slots: server.is_brittle().then_some(server.info.slots),
             };
             (domain, request)
         };
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -1,8 +1,5 @@
-//! Which servers limit the rate of their requests: instances tell each other.
+//! Which servers limit the rate of their requests, as instances tell each other.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 
 use config::Name;
@@ -11,12 +8,8 @@
 use serde_json::json;
 
 use crate::gateway::Gateway;
-use crate::peers::{Message, Peers};
+use crate::peers::Peers;
 
-/// Pause between two reports, so that the changes of one moment are reported together.
-const REPORT_PAUSE: Duration = Duration::from_millis(50);
-/// Maximum number of servers in one report.
-const MAX_REPORTED: usize = 500;
 /// What an instance knows about the rate that a server takes.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct RateReport {
@@ -27,9 +20,6 @@
     age_ms: u64,
 }
 
-/// Servers whose rate limit changed, with whether other domains are to be told.
-pub(crate) type ChangedLimits = HashMap<Name, bool>;
-
 impl<D> Gateway<D> {
     /// Records what an answer says about the rate that its server takes.
     pub(crate) fn observe_rate(&self, server: &str, notice: RateNotice, sent_at: MonotonicTime) {
@@ -39,7 +29,7 @@
         let now = self.now();
         if self.fleet.borrow_mut().set_rate_limit(server, notice, sent_at, now) {
             self.log_rate_limit(server);
-            self.tell_rate_limit(server, true);
+            self.tell_server_news(server, true);
         }
     }
 
@@ -49,13 +39,6 @@
         self.fleet.borrow_mut().merge_rate_limit(&report.server, report.rate, as_of)
     }
 
-    /// Has a changed limit told to other instances, those of other domains if
-    /// `to_domains`.
-    fn tell_rate_limit(&self, server: &str, to_domains: bool) {
-        *self.changed_limits.borrow_mut().entry(server.into()).or_default() |= to_domains;
-        self.limit_changed.notify_one();
-    }
-
     fn log_rate_limit(&self, server: &str) {
         let fleet = self.fleet.borrow();
         self.metrics.limited_servers.set(fleet.limited_servers().count() as i64);
@@ -68,23 +51,14 @@
     pub(crate) fn rate_reports(&self) -> Vec<RateReport> {
         let now = self.now();
         let fleet = self.fleet.borrow();
-        let limited = fleet.limited_servers().take(MAX_REPORTED);
-        limited.map(|server| RateReport::new(server, now)).collect()
-    }
-
-    /// Returns reports on these servers.
-    fn reports_on(&self, servers: impl Iterator<Item = Name>) -> Vec<RateReport> {
-        let now = self.now();
-        let fleet = self.fleet.borrow();
-        let known = servers.filter_map(|server| fleet.get(&server));
-        known.map(|server| RateReport::new(server, now)).collect()
+        fleet.limited_servers().map(|server| RateReport::new(server, now)).collect()
     }
 
     /// Merges the limit that another instance names when it asks for a permit.
     pub(crate) fn learn_rate_limit(&self, limit: &RateReport) {
         if self.merge_rate_limit(limit) {
             self.log_rate_limit(&limit.server);
-            self.tell_rate_limit(&limit.server, true);
+            self.tell_server_news(&limit.server, true);
         }
     }
 
@@ -106,30 +80,6 @@
 }
 
 impl Peers {
-    /// Reports rate limits as they change: an instance to its hub, a hub to its domain and
-    /// the other hubs.
-    pub(crate) async fn send_rate_limits<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
-        loop {
-            gateway.limit_changed.notified().await;
-            tokio::time::sleep(REPORT_PAUSE).await;
-            let now = gateway.now();
-            let changed = std::mem::take(&mut *gateway.changed_limits.borrow_mut());
-            let (to_all, to_domain): (ChangedLimits, ChangedLimits) =
-                changed.into_iter().partition(|(_, to_domains)| *to_domains);
-            let receivers = self.news_receivers(now);
-            self.send_rate_reports(gateway.reports_on(to_all.into_keys()), &receivers).await;
-            let neighbours = self.membership().neighbours(now);
-            let reports = gateway.reports_on(to_domain.into_keys());
-            self.send_rate_reports(reports, &neighbours).await;
-        }
-    }
-
-    async fn send_rate_reports(&self, reports: Vec<RateReport>, receivers: &[SocketAddr]) {
-        for reports in reports.chunks(MAX_REPORTED) {
-            self.send(&Message::RateLimits(reports.to_vec()), receivers).await;
-        }
-    }
-
     /// Merges rate limits that another instance reports. A hub passes news on; what comes
     /// from another domain, to its own only.
     pub(crate) fn apply_rate_limits<D>(
@@ -141,7 +91,7 @@
         for report in reports.iter().filter(|report| gateway.merge_rate_limit(report)) {
             gateway.log_rate_limit(&report.server);
             if self.is_hub(gateway.now()) {
-                gateway.tell_rate_limit(&report.server, !from_outside);
+                gateway.tell_server_news(&report.server, !from_outside);
             }
         }
     }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -113,14 +113,17 @@
 
     /// Records that the server had no room for the request.
     fn record_rejection(&mut self) {
-        let fleet = self.gateway.fleet.borrow();
-        if fleet.get(&self.server).is_some_and(|server| server.brittle) {
-            let permit = if self.permit.is_some() { "permit" } else { "no_permit" };
-            Metrics::count(&self.gateway.metrics.brittle_rejections, permit);
-        }
         if let Some(permit) = &mut self.permit {
             permit.set_rejected();
         }
+        let is_brittle = {
+            let fleet = self.gateway.fleet.borrow();
+            fleet.get(&self.server).is_some_and(|server| server.is_brittle())
+        };
+        if is_brittle {
+            let reason = if self.permit.is_some() { "permit" } else { "no_permit" };
+            Metrics::count(&self.gateway.metrics.brittle_rejections, reason);
+        }
     }
 
     /// Whether a permit was issued for the request.
@@ -406,12 +409,10 @@
         if target.is_helper {
             note = AnswerNote::read(&response.head.headers);
             if let Some(server) = note.as_ref().and_then(|note| note.server.as_ref()) {
-                self.gateway.observe_notices(server, &info);
+                self.gateway.observe_notices(server, &info, sent_at);
             }
         } else if !info.misdirected {
-            self.gateway.observe_rate(&target.server, info.rate, sent_at);
-            self.gateway.observe_brittleness(&target.server, info.brittle);
-            self.gateway.observe_notices(&target.server, &info);
+            self.gateway.observe_notices(&target.server, &info, sent_at);
         }
         if info.misdirected {
             self.gateway.fleet.borrow_mut().mark_displaced(&target.server);
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -65,8 +65,9 @@
     pub pause: Option<Duration>,
     /// Whether what the server says about either can't be read.
     pub invalid_notice: bool,
-    /// Whether the server says that it is brittle: having to reject requests makes it crash.
-    pub brittle: bool,
+    /// Number of rejections in a second that the server survives, if it says that it is
+    /// brittle: having to reject more makes it crash.
+    pub max_rejections: Option<u32>,
     /// What the server says about the rate of requests that it takes.
     pub rate: RateNotice,
     /// The model's confidence in its answer, from 0 to 100.
