Relays and servers of tests have addresses of their own

Seen: brittle_servers_do_not_crash_when_instances_are_cut_off, beside the other tests of its file, once with 3 crashes and 9 rejections without a permit, 5 and 14 to 18 in later runs (allowed 4), none when alone. Traced with each notice printed: an instance whose links were refused got an answer of a server of the same name that was not brittle, 6 s after all had become so. A relay that refuses connections closes its listener, and its free port of 127.0.0.1 was taken by a relay or server of another test in the process. A server that is down loses its port likewise.

They listen on a loopback address of their own now, as instances do.

--- a/crates/fakes/src/http_server.rs
+++ b/crates/fakes/src/http_server.rs
@@ -16,6 +16,8 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::loopback::unique_ip;
+
 /// A response body; an error in it closes the connection.
 pub type ResponseBody = BoxBody<Bytes, std::io::Error>;
 
@@ -91,13 +93,14 @@
     }
 }
 
-/// Serves on a free loopback port until `stop` is cancelled, and returns the address.
+/// Serves on a loopback address of its own until `stop` is cancelled, and returns the address. No
+/// other test listens there while the server is down.
 pub async fn serve<H: Handler>(
     handler: Arc<H>,
     connections: Connections,
     stop: CancellationToken,
 ) -> Result<SocketAddr> {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+    let listener = TcpListener::bind((unique_ip(), 0)).await?;
     let addr = listener.local_addr()?;
     accept_connections(listener, handler, connections, stop);
     Ok(addr)
--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay.rs
@@ -9,6 +9,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::loopback::unique_ip;
+
 /// How a relay treats connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RelayMode {
@@ -45,9 +47,10 @@
 }
 
 impl Relay {
-    /// Starts a relay to `target` on a free loopback port.
+    /// Starts a relay to `target` on a loopback address of its own, so that no other test listens
+    /// there while the relay refuses connections.
     pub async fn start(target: SocketAddr, stop: CancellationToken) -> Result<Self> {
-        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let listener = TcpListener::bind((unique_ip(), 0)).await?;
         let addr = listener.local_addr()?;
         let state = State { mode: RelayMode::Forward, changes: 0, target };
         let (state, receiver) = watch::channel(state);
