Coordinators count all requests at brittle servers, and what these survive

Cause: the hub counts permits that it issued and forgets each after four times the mean time of the others, so that long requests never raise that mean.

Change: an instance reports every 0.2 s, and at once when a service becomes brittle, which permits it holds at a busy brittle server and how many requests beside them. A permit counts as long as it is reported. A rejection without a permit is told as the release of no slot. A hub issues no permit while one rejection more than it knows of would make the server crash.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -70,7 +70,7 @@
 pub use route_stats::RouteStats;
 pub use session_outbox::SessionOutbox;
 pub use sessions::Sessions;
-pub use slots::SlotIssuer;
+pub use slots::{SlotIssuer, SlotRequest, SlotUse};
 
 /// Monotonic time since the start of the process.
 pub type MonotonicTime = std::time::Duration;
--- a/crates/dispatch/tests/slots.rs
+++ b/crates/dispatch/tests/slots.rs
@@ -6,10 +6,14 @@
 use std::time::Duration;
 
 use common::at;
-use dispatch::{MonotonicTime, PermitDecision, SlotIssuer};
+use dispatch::{MonotonicTime, PermitDecision, SlotIssuer, SlotRequest, SlotUse};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+fn wanted(slots: usize, priority: u8) -> SlotRequest {
+    SlotRequest { slots: slots as f64, max_rejections: 8, priority }
+}
+
 /// Instances that send requests to one server.
 struct Load {
     rng: ChaCha8Rng,
@@ -53,7 +57,7 @@
             let ended: Vec<(MonotonicTime, u64)> = ended;
             for (_, permit) in ended {
                 if self.rng.random::<f64>() >= self.loss {
-                    self.issuer.release("s", permit, false, now);
+                    self.issuer.release("s", permit, now);
                 }
             }
             for instance in 0..self.next.len() {
@@ -65,7 +69,7 @@
                 if now < ask_at {
                     continue;
                 }
-                match self.issuer.decide(&server, self.slots as f64, 0, now) {
+                match self.issuer.decide(&server, wanted(self.slots, 0), now) {
                     (PermitDecision::Granted, permit) if self.running.len() < self.slots => {
                         let work = self.rng.random_range(self.work_ms.clone());
                         self.running.push((now + Duration::from_millis(work), permit));
@@ -73,7 +77,7 @@
                     }
                     (PermitDecision::Granted, permit) => {
                         self.rejected += 1;
-                        self.issuer.release("s", permit, true, now);
+                        self.issuer.reject(&server, permit, now);
                     }
                     (PermitDecision::Denied(wait), _) => self.next[instance].1 = now + wait,
                 }
@@ -118,12 +122,13 @@
     let mut rejected = 0;
     for now in (10_000..20_000).step_by(10).map(at) {
         load.running.retain(|(end, _)| *end > now);
-        let (PermitDecision::Granted, permit) = load.issuer.decide(&server, 6.0, 0, now) else {
+        let (PermitDecision::Granted, permit) = load.issuer.decide(&server, wanted(6, 0), now)
+        else {
             continue;
         };
         if load.running.len() >= 3 {
             rejected += 1;
-            load.issuer.release("s", permit, true, now);
+            load.issuer.reject(&server, permit, now);
         } else {
             load.running.push((now + Duration::from_millis(60), permit));
         }
@@ -136,7 +141,7 @@
     let mut issuer = SlotIssuer::default();
     let server = "s".into();
     let mut granted = |priority| {
-        let decisions = (0..20).map(|_| issuer.decide(&server, 10.0, priority, at(0)).0);
+        let decisions = (0..20).map(|_| issuer.decide(&server, wanted(10, priority), at(0)).0);
         decisions.filter(|decision| *decision == PermitDecision::Granted).count()
     };
     assert_eq!([granted(2), granted(1), granted(0)], [7, 1, 1]);
@@ -146,8 +151,55 @@
 fn decide_single_slot_is_used() {
     let mut issuer = SlotIssuer::default();
     let server = "s".into();
-    assert_eq!(issuer.decide(&server, 1.0, 2, at(0)).0, PermitDecision::Granted);
-    assert!(matches!(issuer.decide(&server, 1.0, 0, at(1)).0, PermitDecision::Denied(_)));
-    issuer.release("s", 1, false, at(50));
-    assert_eq!(issuer.decide(&server, 1.0, 2, at(51)).0, PermitDecision::Granted);
+    assert_eq!(issuer.decide(&server, wanted(1, 2), at(0)).0, PermitDecision::Granted);
+    assert!(matches!(issuer.decide(&server, wanted(1, 0), at(1)).0, PermitDecision::Denied(_)));
+    issuer.release("s", 1, at(50));
+    assert_eq!(issuer.decide(&server, wanted(1, 2), at(51)).0, PermitDecision::Granted);
+}
+
+/// Returns the permits that are granted at once.
+fn grants(issuer: &mut SlotIssuer, slots: usize, ms: u64) -> Vec<u64> {
+    let decisions = (0..20).map(|_| issuer.decide(&"s".into(), wanted(slots, 0), at(ms)));
+    let granted = decisions.filter(|(decision, _)| *decision == PermitDecision::Granted);
+    granted.map(|(_, permit)| permit).collect()
+}
+
+#[test]
+fn decide_counts_requests_without_a_permit() {
+    let mut issuer = SlotIssuer::default();
+    let uses = |unpermitted| SlotUse { permits: Vec::new(), unpermitted };
+    issuer.record_use(&"s".into(), "10.0.0.1:1".parse().unwrap(), &uses(3), at(0));
+    issuer.record_use(&"s".into(), "10.0.0.2:1".parse().unwrap(), &uses(4), at(0));
+    assert_eq!(grants(&mut issuer, 10, 100).len(), 2);
+    issuer.record_use(&"s".into(), "10.0.0.1:1".parse().unwrap(), &uses(1), at(200));
+    assert_eq!(grants(&mut issuer, 10, 300).len(), 2);
+    // Reports that are not repeated no longer count.
+    assert_eq!(grants(&mut issuer, 10, 1_000).len(), 5);
+}
+
+#[test]
+fn decide_counts_permits_for_as_long_as_their_holders_report_them() {
+    let mut issuer = SlotIssuer::default();
+    let mut permits = grants(&mut issuer, 10, 0);
+    assert_eq!(permits.len(), 9);
+    let lost = permits.split_off(4);
+    let uses = SlotUse { permits, unpermitted: 0 };
+    for ms in (200..10_000).step_by(200) {
+        issuer.record_use(&"s".into(), "10.0.0.1:1".parse().unwrap(), &uses, at(ms));
+    }
+    assert_eq!(grants(&mut issuer, 10, 10_000).len(), lost.len());
+}
+
+#[test]
+fn decide_stops_before_a_server_crashes() {
+    let mut issuer = SlotIssuer::default();
+    let server = "s".into();
+    let request = SlotRequest { slots: 10.0, max_rejections: 3, priority: 0 };
+    // A request without a permit, and one with.
+    issuer.reject(&server, 0, at(0));
+    let (_, permit) = issuer.decide(&server, request, at(100));
+    issuer.reject(&server, permit, at(200));
+    let (decision, _) = issuer.decide(&server, request, at(500));
+    assert_eq!(decision, PermitDecision::Denied(Duration::from_millis(500)));
+    assert_eq!(issuer.decide(&server, request, at(1_000)).0, PermitDecision::Granted);
 }
--- a/crates/gateway/src/era_support.rs
+++ b/crates/gateway/src/era_support.rs
@@ -240,7 +240,8 @@
             | Message::PermitRequest(_)
             | Message::PermitReply(_)
             | Message::PermitRelease(_)
-            | Message::ServerReports(_) => None,
+            | Message::ServerReports(_)
+            | Message::SlotUses(_) => None,
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -131,6 +131,7 @@
             rollout_started: Notify::new(),
             news_desk: RefCell::default(),
             server_news: Notify::new(),
+            brittleness_changed: Notify::new(),
             lost_services: RefCell::default(),
             narrow_services: RefCell::default(),
             probed_servers: RefCell::default(),
@@ -204,6 +205,8 @@
     pub(crate) news_desk: RefCell<NewsDesk>,
     /// Notified when there are news of servers.
     pub(crate) server_news: Notify,
+    /// Notified when a server becomes brittle or no longer is.
+    pub(crate) brittleness_changed: Notify,
     /// Services of which no server can be reached, and since when.
     pub(crate) lost_services: RefCell<HashMap<Name, MonotonicTime>>,
     /// Services of which less than half of the servers can be reached, and since when.
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -76,6 +76,7 @@
             })
         };
         self.event_log.write("server_brittle", self.now(), fields);
+        self.brittleness_changed.notify_one();
         true
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,7 +24,7 @@
 use crate::fetch::serve_peers;
 use crate::gateway::Gateway;
 use crate::packed::{MAX_DATAGRAM, MAX_UNFRAGMENTED, pack_datagram, unpack};
-use crate::permits::{PermitDesk, PermitRelease, PermitReply, PermitRequest};
+use crate::permits::{PermitDesk, PermitRelease, PermitReply, PermitRequest, SlotUses};
 use crate::rate_limits::RateReport;
 use crate::revision::era;
 use crate::rollouts::Coverage;
@@ -150,6 +150,8 @@
     Routes(RouteReport),
     /// What servers say of themselves.
     ServerReports(Vec<ServerReport>),
+    /// How the sender uses the slots of brittle servers.
+    SlotUses(SlotUses),
 }
 
 impl Peers {
@@ -357,6 +359,7 @@
         tokio::task::spawn_local(self.clone().send_answers(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_blame(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_server_news(gateway.clone()));
+        tokio::task::spawn_local(self.clone().send_slot_uses(gateway.clone()));
         tokio::task::spawn_local(self.clone().send_sessions(gateway.clone()));
         tokio::task::spawn_local(self.clone().learn_era_support(gateway.clone()));
         tokio::task::spawn_local(self.send_digests(gateway));
@@ -516,6 +519,7 @@
                 let from_outside = !self.membership.borrow().is_neighbour(&from);
                 self.apply_server_reports(gateway, &reports, from_outside);
             }
+            Message::SlotUses(uses) => self.permits.record_use(&uses, from, now),
             Message::PermitRequest(request) => {
                 let reply = self.decide_permit(gateway, request);
                 self.send(&Message::PermitReply(reply), &[from]).await;
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -5,12 +5,15 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use config::Name;
-use dispatch::{MonotonicTime, PermitDecision, PermitIssuer, RateLimit, SlotIssuer};
+use dispatch::{
+    MonotonicTime, PermitDecision, PermitIssuer, RateLimit, SlotIssuer, SlotRequest, SlotUse,
+};
 use members::Coordinator;
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
@@ -29,6 +32,12 @@
 /// How long an instance that has become coordinator issues no permits for slots: those that
 /// its predecessor issued may be held.
 const TAKEOVER_PAUSE: Duration = Duration::from_secs(1);
+/// Interval at which an instance reports how it uses brittle servers.
+const SLOT_REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of rejections that a server is assumed to survive that does not say.
+const DEFAULT_MAX_REJECTIONS: u32 = 1;
+/// Slot number of requests without a permit.
+const NO_SLOT: u64 = 0;
 
 /// A request for a permit.
 #[derive(Debug, Serialize, Deserialize)]
@@ -64,22 +73,32 @@
     Unlimited { age_ms: u64 },
 }
 
-/// Tells a coordinator that a request has ended which held a slot.
+/// Tells a coordinator that a request has ended which held a slot, or that a brittle server
+/// rejected one without a slot.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct PermitRelease {
     server: Name,
+    /// The slot; [`NO_SLOT`] if there is none.
     slot: u64,
     /// Whether the server had no room for the request.
     rejected: bool,
 }
 
-/// Permits that an instance issues, and those that it waits for.
+/// Tells a coordinator how the sender uses brittle servers of its domain.
+pub(crate) type SlotUses = Vec<(Name, SlotUse)>;
+
+/// A process that issues permits: its address and incarnation.
+type Issuer = (SocketAddr, u64);
+
+/// Permits that an instance issues, and those that it waits for and holds.
 #[derive(Debug, Default)]
 pub(crate) struct PermitDesk {
     rates: RefCell<PermitIssuer>,
     slots: RefCell<SlotIssuer>,
     last_number: Cell<u64>,
     waiting: RefCell<HashMap<u64, oneshot::Sender<PermitAnswer>>>,
+    /// Slots that this instance holds, by server and issuer.
+    held: RefCell<HashMap<(Name, Issuer), Vec<u64>>>,
 }
 
 impl PermitDesk {
@@ -94,7 +113,24 @@
     /// Records that a request has ended which held a slot.
     pub fn release(&self, release: &PermitRelease, now: MonotonicTime) {
         let PermitRelease { server, slot, rejected } = release;
-        self.slots.borrow_mut().release(server, *slot, *rejected, now);
+        let mut slots = self.slots.borrow_mut();
+        match rejected {
+            true => slots.reject(server, *slot, now),
+            false => slots.release(server, *slot, now),
+        }
+    }
+
+    /// Records how an instance says that it uses brittle servers.
+    pub fn record_use(&self, uses: &SlotUses, from: SocketAddr, now: MonotonicTime) {
+        let mut slots = self.slots.borrow_mut();
+        for (server, usage) in uses {
+            slots.record_use(server, from, usage, now);
+        }
+    }
+
+    /// Returns the slots that this instance holds of an issuer.
+    fn held_from(&self, server: &Name, issuer: Issuer) -> Vec<u64> {
+        self.held.borrow().get(&(server.clone(), issuer)).cloned().unwrap_or_default()
     }
 }
 
@@ -109,12 +145,19 @@
 struct HeldSlot {
     peers: Rc<Peers>,
     release: PermitRelease,
-    /// The coordinator; `None` if it is this instance.
-    coordinator: Option<SocketAddr>,
+    issuer: Issuer,
     /// The start of monotonic time.
     epoch: Instant,
 }
 
+impl HeldSlot {
+    fn new(peers: Rc<Peers>, release: PermitRelease, issuer: Issuer, epoch: Instant) -> Self {
+        let key = (release.server.clone(), issuer);
+        peers.permits.held.borrow_mut().entry(key).or_default().push(release.slot);
+        HeldSlot { peers, release, issuer, epoch }
+    }
+}
+
 impl Permit {
     /// Records that the server had no room for the request.
     pub fn set_rejected(&mut self) {
@@ -126,12 +169,15 @@
 
 impl Drop for HeldSlot {
     fn drop(&mut self) {
-        match self.coordinator {
-            Some(addr) => {
-                self.peers.try_send(&Message::PermitRelease(self.release.clone()), addr);
+        let mut held = self.peers.permits.held.borrow_mut();
+        if let Entry::Occupied(mut slots) = held.entry((self.release.server.clone(), self.issuer)) {
+            slots.get_mut().retain(|slot| *slot != self.release.slot);
+            if slots.get().is_empty() {
+                slots.remove();
             }
-            None => self.peers.permits.release(&self.release, self.epoch.elapsed()),
         }
+        drop(held);
+        self.peers.report_release(&self.release, self.issuer.0, self.epoch.elapsed());
     }
 }
 
@@ -173,18 +219,12 @@
         };
         Metrics::count(&self.metrics.permits, reason);
         match answer {
-            PermitAnswer::Granted { slot: 0 } => Some(Permit { held: None }),
+            PermitAnswer::Granted { slot: NO_SLOT } => Some(Permit { held: None }),
             PermitAnswer::Granted { slot } => {
-                let held = HeldSlot {
-                    peers: peers.clone(),
-                    release: PermitRelease { server: server.clone(), slot, rejected: false },
-                    coordinator: match coordinator {
-                        Some(Coordinator::Other(addr)) => Some(addr),
-                        Some(Coordinator::Own { .. }) | None => None,
-                    },
-                    epoch: self.instant(MonotonicTime::ZERO),
-                };
-                Some(Permit { held: Some(held) })
+                let issuer = peers.issuer(coordinator)?;
+                let release = PermitRelease { server: server.clone(), slot, rejected: false };
+                let epoch = self.instant(MonotonicTime::ZERO);
+                Some(Permit { held: Some(HeldSlot::new(peers.clone(), release, issuer, epoch)) })
             }
             PermitAnswer::Denied { retry_after_ms } => {
                 let until = self.now() + Duration::from_millis(retry_after_ms);
@@ -199,7 +239,74 @@
     }
 }
 
+impl<D> Gateway<D> {
+    /// Tells the coordinator of a brittle server that it rejected a request without a permit.
+    pub(crate) fn report_blind_rejection(&self, server: &Name) {
+        let (Some(peers), now) = (self.peers(), self.now()) else { return };
+        let domain = self.fleet.borrow().get(server).map(|server| server.info.domain.clone());
+        let coordinator = domain.and_then(|domain| peers.membership().coordinator(&domain, now));
+        if let Some((addr, _)) = peers.issuer(coordinator) {
+            let release = PermitRelease { server: server.clone(), slot: NO_SLOT, rejected: true };
+            peers.report_release(&release, addr, now);
+        }
+    }
+
+    /// Returns how this instance uses brittle servers, by the coordinator of their domain.
+    fn slot_uses(&self, peers: &Peers) -> HashMap<SocketAddr, SlotUses> {
+        let now = self.now();
+        let fleet = self.fleet.borrow();
+        let mut uses: HashMap<SocketAddr, SlotUses> = HashMap::new();
+        for server in fleet.brittle_servers().filter(|server| server.in_flight > 0) {
+            let coordinator = peers.membership().coordinator(&server.info.domain, now);
+            let Some(issuer) = peers.issuer(coordinator) else { continue };
+            let permits = peers.permits.held_from(&server.info.id, issuer);
+            let unpermitted = server.in_flight.saturating_sub(permits.len() as u32);
+            let usage = SlotUse { permits, unpermitted };
+            uses.entry(issuer.0).or_default().push((server.info.id.clone(), usage));
+        }
+        uses
+    }
+}
+
 impl Peers {
+    /// Returns the process that issues permits.
+    fn issuer(&self, coordinator: Option<Coordinator>) -> Option<Issuer> {
+        match coordinator? {
+            Coordinator::Own { .. } => Some((self.own_addr(), self.incarnation())),
+            Coordinator::Other(addr) => Some((addr, self.membership().incarnation(&addr))),
+        }
+    }
+
+    /// Reports the end of a request to the coordinator, which may be this instance.
+    fn report_release(&self, release: &PermitRelease, coordinator: SocketAddr, now: MonotonicTime) {
+        match coordinator == self.own_addr() {
+            true => self.permits.release(release, now),
+            false => self.try_send(&Message::PermitRelease(release.clone()), coordinator),
+        }
+    }
+
+    /// Reports how this instance uses brittle servers until the process ends, so that their
+    /// coordinators count requests that were sent without a permit, and those that an earlier
+    /// coordinator issued one for.
+    pub(crate) async fn send_slot_uses<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
+        loop {
+            let changed = gateway.brittleness_changed.notified();
+            if gateway.metrics.brittle_servers.get() == 0 {
+                changed.await;
+            } else {
+                // On a timeout, the reports are due again.
+                let _ = tokio::time::timeout(SLOT_REPORT_INTERVAL, changed).await;
+            }
+            let now = gateway.now();
+            for (addr, uses) in gateway.slot_uses(&self) {
+                match addr == self.own_addr() {
+                    true => self.permits.record_use(&uses, addr, now),
+                    false => self.send(&Message::SlotUses(uses), &[addr]).await,
+                }
+            }
+        }
+    }
+
     /// Asks the coordinator of the server's domain for a permit.
     async fn request_permit<D>(
         &self,
@@ -232,7 +339,11 @@
         let now = gateway.now();
         gateway.learn_rate_limit(&limit);
         let server = &limit.server;
-        let known = gateway.fleet.borrow().get(server).map(|server| server.rate_limit);
+        let (known, max_rejections) = {
+            let fleet = gateway.fleet.borrow();
+            let known = fleet.get(server);
+            (known.map(|known| known.rate_limit), known.and_then(|known| known.max_rejections))
+        };
         let Some(Coordinator::Own { share }) = self.membership().coordinator(&domain, now) else {
             return PermitReply { number, permit: unanswered() };
         };
@@ -252,7 +363,12 @@
             }
             let mut issuer = self.permits.slots.borrow_mut();
             issuer.forget_idle(now);
-            match issuer.decide(server, f64::from(slots) * share, priority, now) {
+            let wanted = SlotRequest {
+                slots: f64::from(slots) * share,
+                max_rejections: max_rejections.unwrap_or(DEFAULT_MAX_REJECTIONS),
+                priority,
+            };
+            match issuer.decide(server, wanted, now) {
                 (PermitDecision::Granted, permit) => slot = permit,
                 (PermitDecision::Denied(wait), _) => {
                     return PermitReply { number, permit: denied(wait) };
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -124,6 +124,9 @@
             let reason = if self.permit.is_some() { "permit" } else { "no_permit" };
             Metrics::count(&self.gateway.metrics.brittle_rejections, reason);
         }
+        if is_brittle && self.permit.is_none() {
+            self.gateway.report_blind_rejection(&self.server);
+        }
     }
 
     /// Whether a permit was issued for the request.
