--- a/crates/error/src/kind.rs
+++ b/crates/error/src/kind.rs
@@ -40,6 +40,8 @@
     CutOff,
     /// The instance is shutting down.
     Draining,
+    /// The instance handles as many requests of other instances as it can.
+    HelperBusy,
     /// The in-memory queue of unwritten bills is full, so new requests are
     /// rejected.
     BillsFull,
@@ -85,7 +87,7 @@
 
 impl Kind {
     /// All kinds, in declaration order.
-    pub const ALL: [Kind; 23] = [
+    pub const ALL: [Kind; 24] = [
         Kind::UnknownKey,
         Kind::UnknownRoute,
         Kind::NotAllowed,
@@ -102,6 +104,7 @@
         Kind::NotReady,
         Kind::CutOff,
         Kind::Draining,
+        Kind::HelperBusy,
         Kind::BillsFull,
         Kind::InProgress,
         Kind::OutcomeUnknown,
@@ -130,6 +133,7 @@
             Kind::NotReady => "not_ready",
             Kind::CutOff => "cut_off",
             Kind::Draining => "draining",
+            Kind::HelperBusy => "helper_busy",
             Kind::BillsFull => "bills_full",
             Kind::InProgress => "in_progress",
             Kind::OutcomeUnknown => "outcome_unknown",
@@ -159,6 +163,7 @@
             Kind::NotReady => retryable(503, 400, "The instance has no configuration yet."),
             Kind::CutOff => retryable(503, 2_000, "The instance cannot confirm its configuration."),
             Kind::Draining => retryable(503, 100, "The instance is shutting down."),
+            Kind::HelperBusy => retryable(503, 100, "The instance helps enough others."),
             Kind::BillsFull => retryable(503, 2_000, "Too many bills wait for the table service."),
             Kind::InProgress => {
                 possibly_run(409, Some(500), "The first call with this key still runs.")
--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -67,7 +67,7 @@
             return Err(refuse(Kind::NotReady));
         }
         if gateway.is_helping_enough() {
-            return Err(refuse(Kind::Overloaded));
+            return Err(refuse(Kind::HelperBusy));
         }
     }
     if head_bytes(&head) > catalog.limits.header_bytes {
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -240,7 +240,11 @@
                 (MAX_DETOURS, gateway.helpers.borrow().is_full(&self.service, now))
             }
         };
-        if self.handover.is_some() || is_full || progress.helpers.len() >= most {
+        // A helper that reaches servers decides as for its own callers.
+        let was_rejected =
+            progress.declined.is_some_and(|declined| declined.kind == Kind::Overloaded);
+        let was_tried = was_rejected || progress.helpers.len() >= most;
+        if self.handover.is_some() || is_full || was_tried {
             return None;
         }
         let peers = gateway.peers()?;
