Requests stop asking for permits after 100 ms

Seen beside a release build on all cores: rejections of the tests at 24 instances after more than 400 ms. Up to eight servers were asked one after the other, each with 50 ms for the answer, and hubs that share a busy processor take that long.

Another server is asked only within 100 ms of the first. The tests pass beside the same build; the load that is answered with quiet processors is unchanged.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,6 +41,8 @@
 const UNREACHABLE_TO_HAND_OVER: usize = 2;
 /// Number of servers for which a permit is requested for one send.
 const MAX_PERMIT_REQUESTS: u32 = 8;
+/// The time after which no further server is asked for a permit.
+const MAX_PERMIT_TIME: Duration = Duration::from_millis(100);
 /// The retry delay suggested for a request that did not run because of a transient failure.
 const TRANSIENT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -299,9 +301,12 @@
         if let Some(session) = self.request.session.filter(|_| !retry) {
             gateway.settle_session(&self.service, session).await;
         }
+        let asked_since = gateway.now();
         let mut permit_requests = 0;
         let (placement, permit) = loop {
-            let placed = self.place(progress, permit_requests < MAX_PERMIT_REQUESTS);
+            let may_ask = permit_requests < MAX_PERMIT_REQUESTS
+                && gateway.now().saturating_sub(asked_since) < MAX_PERMIT_TIME;
+            let placed = self.place(progress, may_ask);
             match self.handover_reason(progress, &placed) {
                 // The instance that handed the request over can ask another one.
                 Some(_) if self.handover.is_some() => {
