What a server says of its shutdown is told to all instances

Cause: as with brittleness, the notice stayed at the instance that got the answer; the store tells the others, unless it is away. The notice travels with the news of servers, names the incarnation, and is told to instances that start.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -159,6 +159,11 @@
         self.info.leaving || self.said_leaving || self.displaced
     }
 
+    /// Whether the server said that it shuts down, itself or in an entry.
+    pub fn said_leaving(&self) -> bool {
+        self.said_leaving
+    }
+
     /// Until when the server wants no requests from this instance, if it wants none now.
     pub fn paused_until(&self, now: MonotonicTime) -> Option<MonotonicTime> {
         self.paused_until.filter(|until| now < *until)
@@ -444,17 +449,26 @@
         }
     }
 
-    /// Records that a server said that it shuts down; returns whether this is news.
-    pub fn announce_leaving(&mut self, id: &str) -> bool {
-        let Some(server) = self.get_mut(id).filter(|server| !server.said_leaving) else {
+    /// Records that an incarnation of a server said that it shuts down; returns whether this is
+    /// news.
+    pub fn announce_leaving(&mut self, id: &Name, started_at_ms: u64) -> bool {
+        if self.leavers.get(id) == Some(&started_at_ms) {
             return false;
-        };
-        server.said_leaving = true;
-        let (id, started_at_ms) = (server.info.id.clone(), server.info.started_at_ms);
-        self.remember_leaver(&id, started_at_ms);
+        }
+        self.remember_leaver(id, started_at_ms);
+        if let Some(server) = self.get_mut(id)
+            && server.info.started_at_ms == started_at_ms
+        {
+            server.said_leaving = true;
+        }
         true
     }
 
+    /// Returns the servers that said that they shut down, although their entries don't.
+    pub fn unlisted_leavers(&self) -> impl Iterator<Item = &Server> {
+        self.servers.iter().filter(|server| server.said_leaving && !server.info.leaving)
+    }
+
     fn remember_leaver(&mut self, id: &Name, started_at_ms: u64) {
         if self.leavers.len() >= MAX_LEAVERS {
             let positions = &self.positions;
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -76,8 +76,8 @@
 #[test]
 fn announce_leaving_is_kept_beside_older_entries() {
     let mut fleet = fleet(1);
-    assert!(fleet.announce_leaving("s0"));
-    assert!(!fleet.announce_leaving("s0"));
+    assert!(fleet.announce_leaving(&"s0".into(), 1));
+    assert!(!fleet.announce_leaving(&"s0".into(), 1));
     fleet.update(info("s0", "z1", "v1"));
     assert!(fleet.get("s0").unwrap().is_leaving());
     fleet.remove("s0");
@@ -88,16 +88,26 @@
 #[test]
 fn announce_leaving_ends_with_the_incarnation() {
     let mut fleet = fleet(1);
-    fleet.announce_leaving("s0");
+    fleet.announce_leaving(&"s0".into(), 1);
     fleet.update(ServerInfo { started_at_ms: 2, ..info("s0", "z1", "v1") });
     assert!(!fleet.get("s0").unwrap().is_leaving());
 }
 
+#[test]
+fn announce_leaving_of_an_incarnation_that_is_not_listed_yet() {
+    let mut fleet = fleet(1);
+    assert!(fleet.announce_leaving(&"s0".into(), 2));
+    assert!(!fleet.announce_leaving(&"s0".into(), 2));
+    assert!(!fleet.get("s0").unwrap().is_leaving());
+    fleet.update(ServerInfo { started_at_ms: 2, ..info("s0", "z1", "v1") });
+    assert!(fleet.get("s0").unwrap().is_leaving());
+}
+
 #[test]
 fn announce_leaving_all_servers_leaves_none() {
     let mut fleet = fleet(2);
-    fleet.announce_leaving("s0");
-    fleet.announce_leaving("s1");
+    fleet.announce_leaving(&"s0".into(), 1);
+    fleet.announce_leaving(&"s1".into(), 1);
     let placed = chosen(&fleet, &Query::default(), 0.5, at(0));
     assert_eq!(placed, Err(PlacementError::NoServer));
 }
@@ -194,7 +204,7 @@
     fleet.note_version(&"desk".into(), &"v1".into(), at(0));
     fleet.note_version(&"desk".into(), &"v2".into(), at(5_000));
     fleet.update(info("new", "z1", "v2"));
-    fleet.announce_leaving("s0");
+    fleet.announce_leaving(&"s0".into(), 1);
     assert!(fleet.unknown_versions("desk", at(5_500)).is_empty());
 }
 
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -29,15 +29,28 @@
             self.metrics.invalid_notices.inc();
             self.event_log.write("notice_invalid", self.now(), || json!({ "server": server }));
         }
-        if info.leaving && self.fleet.borrow_mut().announce_leaving(server) {
-            let fields = || json!({ "server": server });
-            self.event_log.write("server_leaving", self.now(), fields);
+        if info.leaving {
+            let started_at =
+                self.fleet.borrow().get(server).map(|server| server.info.started_at_ms);
+            if started_at.is_some_and(|started_at_ms| self.record_leaving(server, started_at_ms)) {
+                self.tell_server_news(server, true);
+            }
         }
         if let Some(pause) = info.pause {
             self.pause_server(server, pause);
         }
     }
 
+    /// Records that an incarnation of a server shuts down; returns whether this is news.
+    pub(crate) fn record_leaving(&self, server: &Name, started_at_ms: u64) -> bool {
+        let is_news = self.fleet.borrow_mut().announce_leaving(server, started_at_ms);
+        if is_news {
+            let fields = || json!({ "server": server });
+            self.event_log.write("server_leaving", self.now(), fields);
+        }
+        is_news
+    }
+
     /// Records whether an answer says that its server is brittle.
     fn observe_brittleness(
         &self,
--- a/crates/gateway/src/server_news.rs
+++ b/crates/gateway/src/server_news.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use config::Name;
-use dispatch::{BrittleNotice, MonotonicTime};
+use dispatch::{BrittleNotice, MonotonicTime, Server};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
@@ -40,6 +40,12 @@
         /// How long ago it said so.
         age_ms: u64,
     },
+    /// It shuts down.
+    Leaving {
+        server: Name,
+        /// Start time of the incarnation that said so, in Unix milliseconds.
+        started_at_ms: u64,
+    },
 }
 
 /// Servers of which there are news, with whether other domains are to be told.
@@ -78,6 +84,9 @@
                 let notice = BrittleNotice { max_rejections: *max_rejections, as_of };
                 self.record_brittleness(service, server, notice).then(|| server.clone())
             }
+            ServerReport::Leaving { server, started_at_ms } => {
+                self.record_leaving(server, *started_at_ms).then(|| server.clone())
+            }
         }
     }
 
@@ -94,13 +103,18 @@
             if let Some(notice) = fleet.brittleness().notice(service, id) {
                 reports.servers.push(ServerReport::brittle(service, id, notice, now));
             }
+            if server.said_leaving() {
+                reports.servers.push(ServerReport::leaving(server));
+            }
         }
         reports
     }
 
     /// Returns what is known of all servers that need care, for an instance that starts.
     pub(crate) fn lasting_reports(&self) -> Reports {
-        Reports { rates: self.rate_reports(), servers: self.newest_brittle_reports(|_| true) }
+        let mut servers = self.newest_brittle_reports(|_| true);
+        servers.extend(self.fleet.borrow().unlisted_leavers().map(ServerReport::leaving));
+        Reports { rates: self.rate_reports(), servers }
     }
 
     /// Returns the newest notice of a brittle server of each of these services.
@@ -115,6 +129,13 @@
 }
 
 impl ServerReport {
+    fn leaving(server: &Server) -> Self {
+        ServerReport::Leaving {
+            server: server.info.id.clone(),
+            started_at_ms: server.info.started_at_ms,
+        }
+    }
+
     fn brittle(service: &Name, server: &Name, notice: BrittleNotice, now: MonotonicTime) -> Self {
         ServerReport::Brittle {
             service: service.clone(),
