Instances that start keep what they are told of servers not listed yet

Found by a test: an instance that starts beside servers that limit their rate knew none of the limits when it became ready. It is greeted with what others know before it has read the servers' entries, and reports on unknown servers were dropped; rate limits were not told again until they changed (since: after a second).

Reports on rates are kept until the entry is read, at most 4,096; brittleness was kept already, by service. The gauges count servers as they are listed.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -42,6 +42,8 @@
 const RETURN_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of servers remembered that said that they leave and are no longer listed.
 const MAX_LEAVERS: usize = 1_000;
+/// Maximum number of servers whose rate limit is remembered before their entries are read.
+const MAX_EARLY_LIMITS: usize = 4_096;
 /// Maximum number of cached prompt parts remembered per server.
 const MAX_CACHED_PARTS: usize = 2_000;
 
@@ -330,6 +332,8 @@
     /// longer listed: an older entry may be listed again.
     leavers: HashMap<Name, u64>,
     brittleness: Brittleness,
+    /// Rate limits of servers whose entries were not read yet.
+    early_limits: HashMap<Name, RateLimit>,
 }
 
 impl Fleet {
@@ -359,7 +363,13 @@
                 let position = self.servers.len();
                 self.services.entry(info.service.clone()).or_default().push(position);
                 self.positions.insert(info.id.clone(), position);
-                self.servers.push(Server { said_leaving, max_rejections, ..Server::new(info) });
+                let rate_limit = self.early_limits.remove(&info.id).unwrap_or_default();
+                self.servers.push(Server {
+                    said_leaving,
+                    max_rejections,
+                    rate_limit,
+                    ..Server::new(info)
+                });
             }
         }
     }
@@ -552,9 +562,15 @@
     }
 
     /// Merges what another instance knows about a server's rate. Returns whether the limit
-    /// changed.
-    pub fn merge_rate_limit(&mut self, id: &str, rate: Option<f64>, as_of: MonotonicTime) -> bool {
-        self.get_mut(id).is_some_and(|server| server.rate_limit.merge(rate, as_of))
+    /// changed. What is told of a server before its entry is read holds once it is.
+    pub fn merge_rate_limit(&mut self, id: &Name, rate: Option<f64>, as_of: MonotonicTime) -> bool {
+        if let Some(server) = self.get_mut(id) {
+            return server.rate_limit.merge(rate, as_of);
+        }
+        if self.early_limits.len() < MAX_EARLY_LIMITS {
+            self.early_limits.entry(id.clone()).or_default().merge(rate, as_of);
+        }
+        false
     }
 
     /// Records that permits for requests of this priority and lower ones are denied.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use conn::Pool;
 use dispatch::{
     Blame, Catalog, Fleet, Helpers, MonotonicTime, PaceReference, Pressure, PromptPart,
-    RetryBudget, ServerInfo, Sessions,
+    RetryBudget, Server, ServerInfo, Sessions,
 };
 use policy::Poison;
 use rand::{RngExt, SeedableRng};
@@ -365,8 +365,17 @@
             self.event_log.write("server_listed", self.now(), || fields);
         }
         fleet.note_version(&info.service, &info.version, self.now());
+        let id = info.id.clone();
         fleet.update(info);
         self.metrics.servers.set(fleet.ids().count() as i64);
+        if fleet.get(&id).is_some_and(Server::needs_permit) {
+            self.count_servers_in_need(&fleet);
+        }
+    }
+
+    fn count_servers_in_need(&self, fleet: &Fleet) {
+        self.metrics.limited_servers.set(fleet.limited_servers().count() as i64);
+        self.metrics.brittle_servers.set(fleet.brittle_servers().count() as i64);
     }
 
     /// Whether a server's directory entry expired at or before `time` and has not been
@@ -389,7 +398,7 @@
         if fleet.remove(id) {
             self.event_log.write("server_gone", self.now(), || json!({ "server": id }));
             self.metrics.servers.set(fleet.ids().count() as i64);
-            self.metrics.limited_servers.set(fleet.limited_servers().count() as i64);
+            self.count_servers_in_need(&fleet);
         }
     }
 
