--- a/crates/dispatch/src/helpers.rs
+++ b/crates/dispatch/src/helpers.rs
@@ -28,12 +28,15 @@
 const MIN_PAUSE: Duration = Duration::from_millis(500);
 /// Maximum pause.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
-/// How long a service counts as full after a helper said so.
+/// How long a service counts as full after a helper said so, and other helpers are preferred.
 const FULL_TIME: Duration = Duration::from_millis(300);
 /// Cost of an instance in another failure domain, in open requests.
 const CROSS_DOMAIN_COST: f64 = 4.0;
 /// Cost of an instance that has not answered lately, in open requests.
 const UNPROVEN_COST: f64 = 6.0;
+/// Cost of an instance that said lately that the servers have no room, in open requests: each
+/// instance gets its part of what they take.
+const FULL_COST: f64 = 8.0;
 /// Cost of an instance of the own domain that has not answered lately, in open requests, for
 /// each other one there that reaches no server: the whole domain may be cut off.
 const LOST_NEIGHBOUR_COST: f64 = 3.0;
@@ -83,6 +86,8 @@
     paused_until: MonotonicTime,
     /// Until when the service counts as full, as helpers say that reach its servers.
     full_until: MonotonicTime,
+    /// The helpers that said so, and until when others are preferred.
+    full: HashMap<SocketAddr, MonotonicTime>,
     /// Helpers that reach none of its servers.
     lost: HashMap<SocketAddr, LostHelper>,
 }
@@ -130,8 +135,12 @@
         let eligible = candidates
             .iter()
             .filter(|candidate| !tried.contains(&candidate.addr) && !is_avoided(&candidate.addr));
-        let costs = eligible
-            .map(|candidate| (self.cost(candidate, lost_neighbours, draw, now), candidate.addr));
+        let costs = eligible.map(|candidate| {
+            let full = service.and_then(|service| service.full.get(&candidate.addr));
+            let full_cost = if full.is_some_and(|until| now < *until) { FULL_COST } else { 0.0 };
+            let cost = self.cost(candidate, lost_neighbours, draw, now);
+            (cost + full_cost, candidate.addr)
+        });
         costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, addr)| addr)
     }
 
@@ -205,7 +214,11 @@
                     service.paused_until = now + pause;
                 }
             }
-            HelperOutcome::Full => service.full_until = now + FULL_TIME,
+            HelperOutcome::Full => {
+                service.full_until = now + FULL_TIME;
+                service.full.retain(|_, until| now < *until);
+                service.full.insert(addr, now + FULL_TIME);
+            }
             HelperOutcome::Declined => {}
             HelperOutcome::Failed => {
                 helper.avoided_until = now + FAILED_BACKOFF;
--- a/crates/dispatch/tests/helpers.rs
+++ b/crates/dispatch/tests/helpers.rs
@@ -103,6 +103,20 @@
 }
 
 /// Hundreds of instances must not ask each other for a service that is down for all.
+#[test]
+fn choose_leaves_a_helper_whose_servers_are_full_to_others_for_a_moment() {
+    let mut helpers = Helpers::default();
+    let candidates = candidates(3, 3);
+    helpers.record_outcome(addr(1), &"desk".into(), HelperOutcome::Answered, at(0));
+    helpers.record_outcome(addr(1), &"desk".into(), HelperOutcome::Full, at(10));
+    let chosen = |service, ms| helpers.choose(&candidates, service, &[], 0.5, at(ms));
+    assert_ne!(chosen("desk", 20), Some(addr(1)));
+    assert_eq!(chosen("llm", 20), Some(addr(1)));
+    assert_eq!(chosen("desk", 400), Some(addr(1)));
+    let only = [candidates[0]];
+    assert_eq!(helpers.choose(&only, "desk", &[], 0.5, at(20)), Some(addr(1)));
+}
+
 #[test]
 fn choose_service_that_is_down_is_left_to_itself() {
     let mut helpers = Helpers::default();
