A server's failure is passed on if no better answer follows

Callers saw: 502 where a server had answered 500, with `not_run: false`.

Cause: an answer that is followed by another try was dropped before it was known whether there is one. It is kept and replaces any refusal that follows, also at the deadline.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -58,6 +58,9 @@
     pub helpers: Vec<SocketAddr>,
     /// Why the last of them did not send it.
     pub declined: Option<Rejection>,
+    /// The failure that a server answered before the request was sent again. It is passed on if
+    /// no better answer follows.
+    pub failure: Option<Response<ResponseBody>>,
     /// The target of the next send, if it was chosen before the last one was given up.
     pub next_target: Option<Target>,
     /// The number of sends that reached a server.
@@ -188,6 +191,7 @@
         let unsent = Refusal::new(Kind::QueueExpired, &exchange.proof);
         Err(if unsent.not_run() { unsent } else { exchange.refusal(Kind::Timeout, None) })
     });
+    let result = result.or_else(|refusal| progress.failure.take().ok_or(refusal));
     exchange
         .log_request(&progress, result.as_ref().map(|response| response.status().as_u16()).ok());
     result
@@ -588,13 +592,14 @@
             in_flight.record_pace(&self.pace_class(progress), &times);
         }
         in_flight.end(if failed { Outcome::Failed } else { Outcome::Success });
+        let mut response = Response::new(ResponseBody::full(body));
+        *response.status_mut() = status;
+        *response.headers_mut() = self.response_headers(progress, server, &headers);
         if failed && self.may_retry(progress) && self.has_time_to_retry() {
             Metrics::count(&self.gateway.metrics.retries, "failed");
+            progress.failure = Some(response);
             return Ok(None);
         }
-        let mut response = Response::new(ResponseBody::full(body));
-        *response.status_mut() = status;
-        *response.headers_mut() = self.response_headers(progress, server, &headers);
         Ok(Some(response))
     }
 
