A server that stops right behind a head doesn't look whole

What can happen here: a head that isn't whole, at any byte, never becomes an answer: 502, or another try where that is allowed. A head that is whole and names neither a length nor chunks, with the connection closed right behind it, became a 200 with `content-length: 0`, or a stream that ends as complete without an event. Shown first by the new tests: responses of nine forms (length, chunks, trailers, no framing, streams of each, after 103, 204) are cut at each byte by a close and by a reset, directly, behind another request on a kept connection, and through another instance. They failed at "unframed, Close, 76 of 87 bytes" and "unframed stream, 109 of 143" on all three ways.

Such a body is taken for cut if it is empty. One that is not empty and ends with a plain close is whole by RFC 9112, section 8, and is passed on with its length; a reset is an error in all cases.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -16,6 +16,7 @@
 use guard::{GuardedStream, ReadAllowance};
 
 use bytes::Bytes;
+use http::{StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -224,6 +225,14 @@
         self.addr
     }
 
+    /// Whether the body ends with the connection, as the head says nothing of its length.
+    pub fn ends_with_connection(&self) -> bool {
+        let has_body =
+            !matches!(self.head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        has_body && !framing.iter().any(|name| self.head.headers.contains_key(name))
+    }
+
     /// Reads the next chunk of the body; `None` once the body is complete.
     ///
     /// The connection is returned to the pool only when the body is complete.
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -15,6 +15,7 @@
 mod service;
 mod site_server;
 mod site_store;
+mod truncating_server;
 
 pub use deployment::{DOMAINS, Deployment, FakeVersion, VERSIONS};
 pub use endless_server::{EndlessPart, EndlessServer};
@@ -29,3 +30,4 @@
     BrittleCapacity, STREAM_EVENTS, SiteFault, SiteRequest, SiteRequestLog, SiteServer,
 };
 pub use site_store::{SiteStore, SiteStoreFaults};
+pub use truncating_server::{Closing, TruncatedResponse, TruncatingServer};
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -569,12 +569,14 @@
         }
         let PendingResponse { response, status, .. } = *pending;
         let headers = response.head.headers.clone();
+        // A server that stops right behind such a head can't be told from an empty body.
+        let may_be_cut = response.ends_with_connection();
         let body = match response.collect(MAX_BUFFERED_BODY).await {
-            Ok(Some(body)) => body,
-            Ok(None) | Err(_) => {
+            Ok(Some(body)) if !(may_be_cut && body.is_empty()) => body,
+            Ok(_) | Err(_) => {
                 // `record_lost` counts this send again.
                 progress.possible_runs = progress.possible_runs.saturating_sub(1);
-                self.record_broken_help(&in_flight);
+                self.check_broken_help(&in_flight);
                 self.record_lost(progress, in_flight, "cut");
                 if self.may_retry(progress) {
                     return Ok(None);
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -327,10 +327,15 @@
         }
     }
 
-    /// Records that an answer broke off, if a helper passed it on.
-    pub(crate) fn record_broken_help(&self, in_flight: &InFlight<D>) {
-        if let Some(addr) = in_flight.helper {
-            self.record_help(addr, &SendResult::Lost("cut"));
-        }
+    /// Checks whether a helper is gone, if it passed on an answer that broke off. If it can be
+    /// connected to, its server broke off.
+    pub(crate) fn check_broken_help(self: &Rc<Self>, in_flight: &InFlight<D>) {
+        let Some(addr) = in_flight.helper else { return };
+        let exchange = self.clone();
+        tokio::task::spawn_local(async move {
+            if exchange.gateway.pool.probe(addr).await.is_err() {
+                exchange.record_help(addr, &SendResult::Lost("cut"));
+            }
+        });
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -32,6 +32,9 @@
     addr: SocketAddr,
     response: Option<IncomingResponse>,
     reader: EventReader,
+    /// Whether an end here would not show that the body is whole: it ends with its connection,
+    /// and nothing of it came.
+    may_be_cut: bool,
     in_flight: InFlight<D>,
     first_byte: Duration,
     pace: StreamPace,
@@ -82,6 +85,7 @@
             };
             match chunk {
                 Ok(Ok(Some(bytes))) => {
+                    self.may_be_cut = false;
                     if !self.reader.push(&bytes) {
                         return Err(StreamEnd::Broken("long_event"));
                     }
@@ -89,6 +93,7 @@
                 Ok(Ok(None)) if self.reader.has_partial_event() => {
                     return Err(StreamEnd::Broken("torn_event"));
                 }
+                Ok(Ok(None)) if self.may_be_cut => return Err(StreamEnd::Broken("empty")),
                 Ok(Ok(None)) => return Err(StreamEnd::Complete),
                 Ok(Err(_)) => return Err(StreamEnd::Broken("broken")),
                 Err(_) => return Err(StreamEnd::Broken("silent")),
@@ -137,7 +142,7 @@
             Err(StreamEnd::Broken(reason)) => {
                 // `record_lost` counts this send again.
                 progress.possible_runs = progress.possible_runs.saturating_sub(1);
-                self.record_broken_help(&stream.in_flight);
+                self.check_broken_help(&stream.in_flight);
                 self.record_lost(progress, stream.in_flight, reason);
                 if self.may_resume(progress) {
                     return Ok(None);
@@ -203,6 +208,7 @@
         EventStream {
             gateway,
             addr,
+            may_be_cut: response.ends_with_connection(),
             response: Some(response),
             reader: EventReader::default(),
             in_flight,
@@ -325,7 +331,7 @@
         return Err("cut");
     }
     exchange.record_attempt(progress, &stream.in_flight, reason);
-    exchange.record_broken_help(&stream.in_flight);
+    exchange.check_broken_help(&stream.in_flight);
     // Dropping the response closes the connection, which ends this run on the server before
     // the next one starts.
     stream.response = None;
