Connections report a missing body, wherever it is read

The product's own interface reads answers of services as well, keeps those of calls that may not be repeated, and would have replayed an empty one. `conn` now returns an error for a body of which nothing came and whose end only the connection's would show, so that all readers share it: plain answers, streams, stored answers, tables of other instances.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -199,7 +199,8 @@
         match self.link.sender.try_send_request(request).await {
             Ok(response) => {
                 let (head, body) = response.into_parts();
-                Ok(IncomingResponse { head, body, addr: self.addr(), lease: Some(self) })
+                let addr = self.addr();
+                Ok(IncomingResponse { head, body, has_begun: false, addr, lease: Some(self) })
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::Unsent(Box::new(request))),
@@ -215,10 +216,33 @@
     /// The status and headers.
     pub head: http::response::Parts,
     body: Incoming,
+    /// Whether a part of the body was received.
+    has_begun: bool,
     addr: SocketAddr,
     lease: Option<Lease>,
 }
 
+/// Why a body can't be read to its end.
+#[derive(Debug)]
+pub enum BodyError {
+    /// The connection failed before.
+    Broken(hyper::Error),
+    /// Nothing came, and only the end of the connection would show that the body is empty: the
+    /// sender may have stopped behind the head.
+    Missing,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BodyError::Broken(error) => write!(f, "the body broke off: {error}"),
+            BodyError::Missing => f.write_str("the connection ended behind the head"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {}
+
 impl IncomingResponse {
     /// The remote address that sent the response.
     pub fn addr(&self) -> SocketAddr {
@@ -226,7 +250,7 @@
     }
 
     /// Whether the body ends with the connection, as the head says nothing of its length.
-    pub fn ends_with_connection(&self) -> bool {
+    fn ends_with_connection(&self) -> bool {
         let has_body =
             !matches!(self.head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
@@ -236,11 +260,12 @@
     /// Reads the next chunk of the body; `None` once the body is complete.
     ///
     /// The connection is returned to the pool only when the body is complete.
-    pub async fn chunk(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, BodyError> {
         loop {
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.has_begun = true;
                         if let Some(lease) = &self.lease {
                             lease.link.allowance.renew();
                         }
@@ -249,7 +274,11 @@
                 }
                 Some(Err(error)) => {
                     self.lease = None;
-                    return Err(error);
+                    return Err(BodyError::Broken(error));
+                }
+                None if !self.has_begun && self.ends_with_connection() => {
+                    self.lease = None;
+                    return Err(BodyError::Missing);
                 }
                 None => {
                     self.finish();
@@ -260,7 +289,7 @@
     }
 
     /// Reads the whole body; `None` if it is longer than `limit` bytes.
-    pub async fn collect(mut self, limit: usize) -> Result<Option<Bytes>, hyper::Error> {
+    pub async fn collect(mut self, limit: usize) -> Result<Option<Bytes>, BodyError> {
         let mut body = Vec::new();
         while let Some(chunk) = self.chunk().await? {
             if body.len() + chunk.len() > limit {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -569,11 +569,9 @@
         }
         let PendingResponse { response, status, .. } = *pending;
         let headers = response.head.headers.clone();
-        // A server that stops right behind such a head can't be told from an empty body.
-        let may_be_cut = response.ends_with_connection();
         let body = match response.collect(MAX_BUFFERED_BODY).await {
-            Ok(Some(body)) if !(may_be_cut && body.is_empty()) => body,
-            Ok(_) | Err(_) => {
+            Ok(Some(body)) => body,
+            Ok(None) | Err(_) => {
                 // `record_lost` counts this send again.
                 progress.possible_runs = progress.possible_runs.saturating_sub(1);
                 self.check_broken_help(&in_flight);
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -32,9 +32,6 @@
     addr: SocketAddr,
     response: Option<IncomingResponse>,
     reader: EventReader,
-    /// Whether an end here would not show that the body is whole: it ends with its connection,
-    /// and nothing of it came.
-    may_be_cut: bool,
     in_flight: InFlight<D>,
     first_byte: Duration,
     pace: StreamPace,
@@ -85,7 +82,6 @@
             };
             match chunk {
                 Ok(Ok(Some(bytes))) => {
-                    self.may_be_cut = false;
                     if !self.reader.push(&bytes) {
                         return Err(StreamEnd::Broken("long_event"));
                     }
@@ -93,7 +89,6 @@
                 Ok(Ok(None)) if self.reader.has_partial_event() => {
                     return Err(StreamEnd::Broken("torn_event"));
                 }
-                Ok(Ok(None)) if self.may_be_cut => return Err(StreamEnd::Broken("empty")),
                 Ok(Ok(None)) => return Err(StreamEnd::Complete),
                 Ok(Err(_)) => return Err(StreamEnd::Broken("broken")),
                 Err(_) => return Err(StreamEnd::Broken("silent")),
@@ -208,7 +203,6 @@
         EventStream {
             gateway,
             addr,
-            may_be_cut: response.ends_with_connection(),
             response: Some(response),
             reader: EventReader::default(),
             in_flight,
