Whoever is still open at the end of a shutdown gets a true answer

The time allowed was compared with the end of the grace before the body was read, so that a body that came late was passed on with less time than it needs.

Change: a token aborts what is open 0.9 s before the end. Requests that were not sent get 503 with `not_run: true`, others 502, a failure that a server answered is passed on, and streams break off; the process stays for 0.2 s more. The time is compared again when the body is whole and before each first send. Late callers are refused at once.

--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -83,12 +83,16 @@
         request.resume_after = handover.resume_after;
     }
     let timeout = request.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
-    if gateway.refuses_while_draining(timeout) {
+    let deadline = arrived + timeout;
+    if gateway.refuses_while_draining(deadline) {
         return Err(refuse(Kind::Draining));
     }
     let reading = read_body(body, catalog.limits.body_bytes);
     let body = tokio::time::timeout(timeout, reading).await.unwrap_or(Err(Kind::BodyCut));
     let body = body.map_err(refuse)?;
+    if gateway.refuses_while_draining(deadline) {
+        return Err(refuse(Kind::Draining));
+    }
     let service = route.target(gateway.random()).cloned();
     let service = service.ok_or_else(|| refuse(Kind::NoServer))?;
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
@@ -108,7 +112,7 @@
         head,
         body,
         arrived,
-        deadline: arrived + timeout,
+        deadline,
         proof,
         fingerprint,
         is_counted: Cell::new(handover.is_none()),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,7 @@
     PlacementError, PlacementRequest, PromptPartKey, RetryMode, Side, Verdict, is_detour_faster,
     place,
 };
-use error::{Kind, Refusal};
+use error::{Kind, NotRunProof, Refusal};
 use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use serde_json::{Value, json};
@@ -121,7 +121,11 @@
     let _open = OpenRequestGuard(gateway.clone());
     let (head, body) = request.into_parts();
     let mut id = String::new();
-    let result = match admit(&gateway, head, body, arrived, handover, &mut id).await {
+    let admitting = admit(&gateway, head, body, arrived, handover, &mut id);
+    let admitted = gateway.cutoff.run_until_cancelled(admitting).await;
+    let admitted =
+        admitted.unwrap_or_else(|| Err(Refusal::new(Kind::Draining, &NotRunProof::new())));
+    let result = match admitted {
         Ok(exchange) => {
             let result = run_until_deadline(&Rc::new(exchange)).await;
             if let Ok(response) = &result {
@@ -186,11 +190,15 @@
         ..Progress::default()
     };
     let until = exchange.gateway.instant(exchange.deadline);
-    let result = tokio::time::timeout_at(until, exchange.run(&mut progress)).await;
-    let result = result.unwrap_or_else(|_| {
-        let unsent = Refusal::new(Kind::QueueExpired, &exchange.proof);
-        Err(if unsent.not_run() { unsent } else { exchange.refusal(Kind::Timeout, None) })
-    });
+    let running = tokio::time::timeout_at(until, exchange.run(&mut progress));
+    let result = match exchange.gateway.cutoff.run_until_cancelled(running).await {
+        Some(Ok(result)) => result,
+        Some(Err(_)) => {
+            let unsent = Refusal::new(Kind::QueueExpired, &exchange.proof);
+            Err(if unsent.not_run() { unsent } else { exchange.refusal(Kind::Timeout, None) })
+        }
+        None => Err(exchange.refusal(Kind::Draining, None)),
+    };
     let result = result.or_else(|refusal| progress.failure.take().ok_or(refusal));
     exchange
         .log_request(&progress, result.as_ref().map(|response| response.status().as_u16()).ok());
@@ -294,6 +302,9 @@
         if gateway.poison.borrow().is_blocked(self.fingerprint) || !self.may_send_prompt(progress) {
             return Err(Rejection { kind: Kind::CrashesServers, retry_after: None });
         }
+        if progress.possible_runs == 0 && gateway.refuses_while_draining(self.deadline) {
+            return Err(Rejection { kind: Kind::Draining, retry_after: None });
+        }
         if progress.sends >= self.route.max_attempts + MAX_EXTRA_REJECTIONS {
             return Err(Rejection::new(Kind::Overloaded, TRANSIENT_RETRY_AFTER));
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use serde_json::json;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use crate::blame::part_ids;
 use crate::event_log::{EventLog, log_event};
@@ -142,6 +143,7 @@
             peers: OnceCell::new(),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(self.seed)),
             drain_schedule: Cell::new(None),
+            cutoff: CancellationToken::new(),
             members: Cell::new(1),
             event_log: EventLog::new(metrics.dropped_lines.clone()),
             metrics,
@@ -225,6 +227,8 @@
     directory_loaded: Cell<bool>,
     rng: RefCell<ChaCha8Rng>,
     drain_schedule: Cell<Option<DrainSchedule>>,
+    /// Cancelled when open requests are aborted because the process is about to end.
+    pub(crate) cutoff: CancellationToken,
     members: Cell<usize>,
     started: Instant,
 }
@@ -425,12 +429,11 @@
         self.drain_schedule.set(Some(schedule));
     }
 
-    /// Whether a request that may take up to `max_duration` must be refused because the instance
-    /// is shutting down.
-    pub(crate) fn refuses_while_draining(&self, max_duration: Duration) -> bool {
-        let now = self.now();
+    /// Whether a request that may take until `deadline` must be refused because the instance is
+    /// shutting down.
+    pub(crate) fn refuses_while_draining(&self, deadline: MonotonicTime) -> bool {
         let Some(schedule) = self.drain_schedule.get() else { return false };
-        now >= schedule.refuse_late_from && now + max_duration > schedule.cutoff
+        self.now() >= schedule.refuse_late_from && deadline > schedule.cutoff
     }
 
     /// Sets the number of instances that share the retry budgets.
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -25,6 +25,8 @@
 const BALANCER_DETECTION_DELAY: Duration = Duration::from_millis(2_600);
 /// How long before the end of the grace period open requests are aborted.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(900);
+/// How long the process stays afterwards, so that callers receive the answers to those requests.
+const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(200);
 /// The interval at which a drain checks for open requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The delay after a failed `accept`.
@@ -62,7 +64,9 @@
     /// Readiness fails immediately, but connections are served as before until the load
     /// balancer has had time to notice. After that, connections are closed after their current
     /// request, and requests that might end too late are refused. The drain completes once no
-    /// requests are open, or shortly before `grace` runs out.
+    /// requests are open, or shortly before `grace` runs out. What is still open then is
+    /// answered: requests that were not sent are refused as not run, others as perhaps run, and
+    /// streams break off.
     pub async fn drain(self, grace: Duration) -> DrainOutcome {
         let start = Instant::now();
         let end = start + grace.saturating_sub(SHUTDOWN_MARGIN);
@@ -82,6 +86,10 @@
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         let aborted = self.gateway.metrics.open_requests.get();
+        if aborted > 0 {
+            self.gateway.cutoff.cancel();
+            tokio::time::sleep(FINAL_ANSWERS_TIME).await;
+        }
         let fields = json!({ "cut": aborted, "took_ms": start.elapsed().as_millis() as u64 });
         log_event("drained", self.gateway.now(), fields);
         DrainOutcome { aborted }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -247,6 +247,7 @@
         () = sender.closed() => Err("caller_left"),
         outcome = relay_events(&exchange, &mut progress, &mut stream, first, &sender) => outcome,
         () = tokio::time::sleep_until(until) => Err("deadline"),
+        () = gateway.cutoff.cancelled() => Err("draining"),
     };
     gateway.metrics.open_requests.dec();
     let result = match outcome {
