The product's interface answers what is open at the end of a shutdown

It gets 504 with `not_run: false` now, and what was not sent 503; the claim says as before that the outcome is unknown.

--- a/crates/caller/src/listener.rs
+++ b/crates/caller/src/listener.rs
@@ -15,6 +15,7 @@
 use router::Shared;
 use schemars::JsonSchema;
 use serde::Deserialize;
+use tokio_util::sync::CancellationToken;
 
 use crate::{chat, request, response, service};
 
@@ -34,6 +35,22 @@
     /// Whether a bill is stored at peers or in the table before the last bytes of
     /// its answer are sent; disabled only in experiments.
     pub durable_bills: bool,
+    /// Cancelled when open requests are aborted because the process is about to end.
+    pub cutoff: CancellationToken,
+}
+
+impl App {
+    /// Handles a request, until it is aborted because the process is about to end.
+    async fn until_cutoff(
+        &self,
+        handling: impl Future<Output = Result<Response<Body>, Refusal>>,
+        proof: &NotRunProof,
+    ) -> Result<Response<Body>, Refusal> {
+        self.cutoff.run_until_cancelled(handling).await.unwrap_or_else(|| {
+            let unsent = Refusal::new(Kind::Draining, proof);
+            Err(if unsent.not_run() { unsent } else { Refusal::new(Kind::Timeout, proof) })
+        })
+    }
 }
 
 /// The running listener.
@@ -88,7 +105,8 @@
 async fn post_chat(rqctx: Request, body: StreamingBody) -> Result<Response<Body>, HttpError> {
     let app = rqctx.context().clone();
     let proof = Arc::new(NotRunProof::new());
-    let result = chat::chat(&app, rqctx.request.headers(), body, proof).await;
+    let handling = chat::chat(&app, rqctx.request.headers(), body, proof.clone());
+    let result = app.until_cutoff(handling, &proof).await;
     Ok(into_response(&app, result))
 }
 
@@ -181,7 +199,8 @@
         headers: rqctx.request.headers().clone(),
     };
     let proof = Arc::new(NotRunProof::new());
-    let result = service::call(&app, head, body, proof).await;
+    let handling = service::call(&app, head, body, proof.clone());
+    let result = app.until_cutoff(handling, &proof).await;
     Ok(into_response(&app, result))
 }
 
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -12,6 +12,7 @@
 use router::{Shared, SharedBuilder};
 use slog::Drain;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use crate::bills::BillWriter;
 use crate::configuration::Configuration;
@@ -40,6 +41,8 @@
     callers: Listener,
     operators: operators::Server,
     peers: SocketAddr,
+    /// Aborts the callers' open requests.
+    cutoff: CancellationToken,
 }
 
 impl Entry {
@@ -57,10 +60,12 @@
         let log = slog::Logger::root(slog_stdlog::StdLog.fuse(), slog::o!());
         let context = Arc::new(OperatorContext::new(shared.clone(), settings.token.clone()));
         let operators = operators::start(settings.operators, context.clone(), &log)?;
-        let callers = Listener::start(settings.callers, caller_app(&shared, &settings), &log)?;
+        let cutoff = CancellationToken::new();
+        let app = caller_app(&shared, &settings, cutoff.clone());
+        let callers = Listener::start(settings.callers, app, &log)?;
         let services = Arc::new(kernel.start());
         context.set_services(services.clone());
-        let entry = Entry { settings, shared, services, gossip, callers, operators, peers };
+        let entry = Entry { settings, shared, services, gossip, callers, operators, peers, cutoff };
         entry.log_start();
         Ok(entry)
     }
@@ -98,6 +103,8 @@
         while self.open_requests() > 0 && start.elapsed() < self.settings.drain {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
+        // What is still open gets an answer.
+        self.cutoff.cancel();
         let remaining =
             self.settings.drain.saturating_sub(start.elapsed()).max(LOAD_BALANCER_GRACE);
         let closed = self.callers.close(remaining).await;
@@ -140,7 +147,7 @@
 }
 
 /// Creates the context of the listener for callers.
-fn caller_app(shared: &Shared, settings: &Settings) -> Arc<App> {
+fn caller_app(shared: &Shared, settings: &Settings, cutoff: CancellationToken) -> Arc<App> {
     let enabled = |name: &str| !settings.disabled.iter().any(|disabled| disabled == name);
     Arc::new(App {
         shared: shared.clone(),
@@ -149,5 +156,6 @@
         body_read_timeout: BODY_READ_TIMEOUT,
         claims_enabled: enabled("claims"),
         durable_bills: enabled("secure"),
+        cutoff,
     })
 }
--- a/crates/entry/tests/interface.rs
+++ b/crates/entry/tests/interface.rs
@@ -35,6 +35,11 @@
 
 impl TestCluster {
     async fn start() -> TestCluster {
+        TestCluster::with_drain(Duration::from_secs(5)).await
+    }
+
+    /// Starts instances that finish open requests for so long when they shut down.
+    async fn with_drain(drain: Duration) -> TestCluster {
         let stop = CancellationToken::new();
         let deployment = Deployment::start(Duration::from_millis(1), stop.clone()).await.unwrap();
         let examples = PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples"));
@@ -59,7 +64,7 @@
             let settings =
                 SettingsBuilder::new(id.as_str().into(), (*domain).into(), platform, token)
                     .listen(any, any, any)
-                    .drain(Duration::from_secs(5))
+                    .drain(drain)
                     .build();
             let entry = Entry::start(settings).unwrap();
             deployment.list_entry(&id, entry.peers(), domain);
@@ -204,6 +209,36 @@
     assert_eq!(cluster.bookings_run(), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn booking_open_at_a_shutdown_is_answered_before_the_end() {
+    let mut cluster = TestCluster::with_drain(Duration::from_secs(2)).await;
+    for (_, service) in &cluster.deployment.services {
+        service.set_faults(|faults| faults.hang = true);
+    }
+    let entry = cluster.entries.remove(0);
+    let addr = entry.callers();
+    let asking = tokio::spawn(async move {
+        let request = http::Request::post(BOOKING)
+            .header("host", addr.to_string())
+            .header("authorization", "Bearer key-bento")
+            .header("idempotency-key", "visit-1")
+            .body(Full::new(Bytes::from(VISIT)))
+            .unwrap();
+        let answer = conn::Pool::new().open(addr).await.unwrap().send(request).await.unwrap();
+        let status = answer.head.status.as_u16();
+        (status, answer.collect(1 << 20).await.unwrap().unwrap())
+    });
+    while cluster.bookings_run() == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    entry.drain().await;
+    assert!(asking.is_finished(), "no answer when the process ends");
+    let (status, body) = asking.await.unwrap();
+    let body = String::from_utf8_lossy(&body);
+    assert_eq!(status, 504, "{body}");
+    assert!(body.contains("\"not_run\":false"), "{body}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn models_are_listed_for_the_account() {
     let cluster = TestCluster::start().await;
