A killed neighbour counts the same at the hub and at the others

Traced by writing each instance's roster every 0.3 s: n6, which starts as n2 is killed, becomes the hub. Others stop counting n2 when the hub's roster no longer lists it; nobody corrects the hub, which counts a silent instance in the division of budgets for 60 s. Suspected before and ruled out: two hubs that tell each other that it is alive; n2 was not alive for any.

So two figures were one: who is alive (the metric), and whose part of shared budgets is kept, since it may only be cut off. The hub's answer to the second was right; the others dropped the part, so that a domain cut in two would have spent more than the whole.

Change: an instance that the hub no longer lists is not alive but keeps its part for 60 s. `members` counts those that are alive.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -436,10 +436,10 @@
         self.now() >= schedule.refuse_late_from && deadline > schedule.cutoff
     }
 
-    /// Sets the number of instances that share the retry budgets.
-    pub fn set_members(&self, members: usize) {
+    /// Sets the number of instances that share the retry budgets, and of those that are alive.
+    pub fn set_members(&self, members: usize, live: usize) {
         self.members.set(members.max(1));
-        self.metrics.members.set(members.saturating_sub(1) as i64);
+        self.metrics.members.set(live.saturating_sub(1) as i64);
     }
 
     /// The number of instances that share the retry budgets.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -382,7 +382,10 @@
         loop {
             let now = gateway.now();
             let due = self.membership.borrow_mut().tick(now);
-            gateway.set_members(self.membership.borrow().instances(now));
+            {
+                let membership = self.membership.borrow();
+                gateway.set_members(membership.instances(now), membership.live_count(now));
+            }
             gateway.hub_position.set(self.hub_position(now));
             self.hub_since.set(self.hub_since.get().or(Some(now)).filter(|_| self.is_hub(now)));
             self.send_envelopes(due).await;
--- a/crates/members/src/membership.rs
+++ b/crates/members/src/membership.rs
@@ -547,6 +547,18 @@
         near + far
     }
 
+    /// Returns the number of instances that are alive as far as this one knows, including it.
+    pub fn live_count(&self, now: MonotonicTime) -> usize {
+        let foreign = self.roster.other_domains().into_iter().map(|domain| {
+            let in_domain = |entry: &&Entry| entry.member.domain == domain && entry.is_live(now);
+            let known = self.roster.entries().filter(in_domain).count();
+            let reported = self.domains.get(&domain);
+            let reported = reported.filter(|(_, at)| now.saturating_sub(*at) < MEMBER_TIMEOUT);
+            reported.map_or(known, |(instances, _)| known.max(*instances as usize))
+        });
+        self.domain_size(now) + foreign.sum::<usize>()
+    }
+
     /// Returns the coordinator of a domain's servers: the hub of that domain or, where it has
     /// no instances, that of another domain. `None` if it is not known or not reached.
     pub fn coordinator(&self, domain: &Name, now: MonotonicTime) -> Option<Coordinator> {
--- a/crates/members/src/roster.rs
+++ b/crates/members/src/roster.rs
@@ -33,6 +33,8 @@
     pub alive_at: Option<MonotonicTime>,
     /// When it last sent a message.
     pub heard_at: Option<MonotonicTime>,
+    /// Whether the hub no longer lists it.
+    unlisted: bool,
     /// When it last sent a beat as hub.
     pub beat_at: Option<MonotonicTime>,
     /// Whether it announced its shutdown.
@@ -41,7 +43,14 @@
 
 impl Entry {
     pub fn is_live(&self, now: MonotonicTime) -> bool {
-        !self.left && self.alive_at.is_some_and(|at| now.saturating_sub(at) < MEMBER_TIMEOUT)
+        let is_recent = |at| now.saturating_sub(at) < MEMBER_TIMEOUT;
+        !self.left && !self.unlisted && self.alive_at.is_some_and(is_recent)
+    }
+
+    /// Records a sign of life.
+    fn seen(&mut self, now: MonotonicTime) {
+        self.alive_at = Some(now);
+        self.unlisted = false;
     }
 }
 
@@ -69,7 +78,7 @@
             entry.member = member.clone();
             entry.key = member.succession_key();
         }
-        entry.alive_at = Some(now);
+        entry.seen(now);
         entry.heard_at = Some(now);
         Some(entry)
     }
@@ -77,7 +86,7 @@
     /// Records a message from an address, whoever is there now.
     pub fn heard_addr(&mut self, addr: &SocketAddr, now: MonotonicTime) {
         if let Some(entry) = self.entries.get_mut(addr) {
-            entry.alive_at = Some(now);
+            entry.seen(now);
             entry.heard_at = Some(now);
         }
     }
@@ -89,7 +98,7 @@
     pub fn vouched(&mut self, member: &Member, now: MonotonicTime) {
         if let Some(entry) = self.entries.get_mut(&member.addr) {
             if entry.member.incarnation == member.incarnation {
-                entry.alive_at = Some(now);
+                entry.seen(now);
                 return;
             }
             if entry.is_live(now) {
@@ -98,7 +107,7 @@
             self.entries.remove(&member.addr);
         }
         if let Some(entry) = self.insert(member, now) {
-            entry.alive_at = Some(now);
+            entry.seen(now);
         }
     }
 
@@ -109,9 +118,7 @@
         for entry in self.entries.values_mut().filter(|entry| entry.member.domain == *domain) {
             let is_listed = listed.iter().any(|member| member.addr == entry.member.addr);
             let is_heard = |at| now.saturating_sub(at) < MEMBER_TIMEOUT;
-            if !is_listed && !entry.heard_at.is_some_and(is_heard) {
-                entry.alive_at = None;
-            }
+            entry.unlisted |= !is_listed && !entry.heard_at.is_some_and(is_heard);
         }
     }
 
@@ -140,6 +147,7 @@
             added_at: now,
             alive_at: None,
             heard_at: None,
+            unlisted: false,
             beat_at: None,
             left: false,
         }))
--- a/crates/members/tests/membership.rs
+++ b/crates/members/tests/membership.rs
@@ -239,6 +239,30 @@
     network.check_converged("after five hubs stopped");
 }
 
+/// A silent instance may only be cut off: its part of shared budgets stays its own, at the hub as at
+/// the others, while nobody takes it for alive.
+#[test]
+fn instances_of_a_killed_neighbour_are_the_same_at_the_hub_and_the_others() {
+    let mut network = Network::with_domains(8, 2, 6);
+    network.run_for(secs(3.0));
+    let hub = network.hubs("d1")[0];
+    let killed = *network.running.keys().find(|a| domain_of(a) == "d1" && **a != hub).unwrap();
+    network.kill(&killed);
+    // One that starts beside the killed one is told of it by others.
+    network.run_for(secs(0.1));
+    network.start(addr(1, 16));
+    network.run_for(secs(8.0));
+    for (addr, instance) in network.running.iter().filter(|(addr, _)| domain_of(addr) == "d1") {
+        let age = network.age(addr);
+        assert_eq!(instance.state.instances(age), 13, "{addr}");
+        assert_eq!(instance.state.live_count(age), 12, "{addr}");
+    }
+    network.run_for(secs(60.0));
+    for (addr, instance) in &network.running {
+        assert_eq!(instance.state.instances(network.age(addr)), 12, "{addr}");
+    }
+}
+
 #[test]
 fn leave_hub_is_succeeded_at_once() {
     let mut network = Network::with_domains(5, 3, 10);
