--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -233,12 +233,6 @@
         }
     }
 
-    /// Whether an answer of a version counts. Those of the old one count from the canary on only:
-    /// before, the load may have been another one.
-    pub fn counts(&self, side: Side, now: MonotonicTime) -> bool {
-        side == Side::New || self.phase(now) != Phase::NotStarted
-    }
-
     /// Returns the version for a request.
     ///
     /// `position` from 0 to 1 is fixed for a session; `last_version` is the version
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -492,9 +492,6 @@
     pub(crate) fn record_rollout_answer(&self, answer: &AnswerOrigin, bad: bool) {
         if let Some(tracked) = self.rollouts.borrow_mut().get_mut(&answer.service) {
             let side = tracked.side_of(&answer.version);
-            if !tracked.rollout.counts(side, self.now()) {
-                return;
-            }
             tracked.own_stats.record_answer(side, bad);
             let routes = &mut tracked.own_routes;
             if routes.len() < MAX_ROUTES || routes.contains_key(&answer.route) {
@@ -528,9 +525,7 @@
         let Some(tracked) = rollouts.get_mut(service) else { return };
         if let Some(ratio) = self.paces.borrow().ratio(class, times, self.now()) {
             let side = tracked.side_of(version);
-            if tracked.rollout.counts(side, self.now()) {
-                tracked.own_stats.record_pace(side, ratio);
-            }
+            tracked.own_stats.record_pace(side, ratio);
         }
     }
 
