The first sound answer of a server is news after a brittle time

Callers saw: nothing lost; instances went on asking for permits for servers that were sound again, up to 30 s, and preferred others. Cause: an instance that hears itself that a server is brittle tells nobody if its service is known to be so already. When the server answers that it is sound, a hub that had no notice of it and whose last brittle server was sound already took that for no news, and didn't tell its domain; there, the notice that nobody else had stayed. Evidence: a run with each notice logged: n9 heard from s22 at 4.90 s; its hub n8, and n12, got the sound notice at 7.01 s, "had None, new false"; n9 never got it. Ruled out: datagrams lost or late (the hub got them, twice), outdated notices. Change: Brittleness::record takes the first sound notice of a server for news while notices of its service are kept. The unit test fails without the change.

--- a/crates/dispatch/src/brittleness.rs
+++ b/crates/dispatch/src/brittleness.rs
@@ -47,8 +47,9 @@
 }
 
 impl Brittleness {
-    /// Records the notice of a server; returns whether it changes what is known of it or of the
-    /// other servers of the service.
+    /// Records the notice of a server; returns whether it is news: whether it changes what is
+    /// known of the server or of the other servers of the service, here or at another instance,
+    /// which may have notices that this one never had.
     ///
     /// The notice of an answer names when the answer arrived if the server is brittle, and when
     /// the request was sent if not: an answer that was on its way when the service became
@@ -68,9 +69,10 @@
         if notice.as_of < known.since || known.notices.get(server).is_some_and(is_outdated) {
             return false;
         }
-        known.notices.insert(server.clone(), notice);
+        let previous = known.notices.insert(server.clone(), notice);
         known.notices_changed();
-        self.max_rejections(service, server).is_some() != before
+        let is_first_sound = !is_brittle && previous.is_none();
+        is_first_sound || self.max_rejections(service, server).is_some() != before
     }
 
     /// The number of rejections in a second that a server survives; `None` if it is not
--- a/crates/dispatch/tests/brittleness.rs
+++ b/crates/dispatch/tests/brittleness.rs
@@ -75,6 +75,16 @@
     assert_eq!(known.0.notice("s", "b"), Some(sound(21)));
 }
 
+/// Another instance may have heard from the server itself that it is brittle.
+#[test]
+fn record_sound_server_that_had_not_said_is_news_after_the_last_brittle_one() {
+    let mut known = Known::default();
+    known.record("a", brittle(10));
+    known.record("a", sound(20));
+    assert!(known.record("b", sound(21)));
+    assert!(!known.record("b", sound(22)));
+}
+
 #[test]
 fn record_second_time_begins_anew() {
     let mut known = Known::default();
