Going back to the old version after a rollback is no change of a session

All sessions of the step are in the canary, so from 2.6 s on no answer of the old version is there to compare with: the load of the machine grew from 2.8 s on, and the new one's paces with it (mean by 0.2 s: 0.93 to 0.99 for both versions until 2.6 s, then 1.4 to 2.8 for the new one alone). Changes to the new version always count.

--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -84,7 +84,8 @@
 //! - `users NODE,NODE,... PATH SECONDS COUNT` lets so many callers each send four requests of a
 //!   session, to instances in turn, and then begin another session; all sessions are in the
 //!   canary of a rollout. `pinned SERVICE MOST` checks that in the first half of the last rollout no
-//!   more than so many of their requests ran on another version than the one before.
+//!   more than so many of their requests ran on another version than the one before; going back
+//!   to the old one after a rollback does not count.
 //! - `raw NODE TEXT` sends bytes (`\s`, `\r`, `\n` stand for space and line ends) and
 //!   reads until the connection is closed. `says TEXT` and `lacks TEXT` check what was
 //!   received, `answers N` the number of responses.
@@ -171,11 +172,15 @@
     last_reply: Option<(Reply, Duration)>,
     /// When the last rollout was ordered.
     ordered_at: Option<Instant>,
+    /// The service of the last order.
+    ordered_service: String,
     /// The planned duration of the last rollout.
     order_duration: Duration,
     /// The sessions of `users` steps: the ids of the requests, in order, each sent once the one
     /// before was answered.
     user_sessions: Vec<Vec<String>>,
+    /// When a `users` step last saw that the last rollout was not rolled back.
+    in_progress_at: Option<Instant>,
     /// When the last configuration was written.
     configured_at: Option<Instant>,
     /// The store's counts of calls at the last `calls-reset` step, by path.
@@ -201,8 +206,10 @@
             pending: HashMap::new(),
             last_reply: None,
             ordered_at: None,
+            ordered_service: String::new(),
             order_duration: Duration::ZERO,
             user_sessions: Vec::new(),
+            in_progress_at: None,
             configured_at: None,
             calls_before: HashMap::new(),
             raw_response: String::new(),
@@ -341,6 +348,7 @@
                 self.order_duration = Duration::from_secs_f64(seconds);
                 self.store.put("op", &format!("rollout/{service}"), order.to_string().as_bytes());
                 self.ordered_at = Some(Instant::now());
+                self.ordered_service = (*service).into();
             }
             ["within-order", ms] => {
                 let elapsed = self.ordered_at.context("no rollout was ordered before")?.elapsed();
@@ -604,6 +612,11 @@
         row.and_then(|row| serde_json::from_slice(&row).ok()).unwrap_or_default()
     }
 
+    /// Whether the last rollout is rolled back.
+    fn is_rolled_back(&self) -> bool {
+        self.rollout_state(&self.ordered_service)["state"] == "rolled_back"
+    }
+
     /// Waits until a rollout has a state.
     async fn wait_state(&self, service: &str, state: &str) -> Result<()> {
         let start = Instant::now();
@@ -689,6 +702,9 @@
             .collect();
         let mut turn = 0;
         while Instant::now() < until {
+            if !self.is_rolled_back() {
+                self.in_progress_at = Some(Instant::now());
+            }
             for session in &mut sessions {
                 let id = format!("{}-{}", session.name, session.ids.len());
                 let option = format!("session={}", session.name);
@@ -722,11 +738,15 @@
         let version = |run: &SiteRequest| {
             self.servers.get(&run.server).and_then(|(_, entry)| entry["version"].as_str())
         };
+        let rolled_back = self.is_rolled_back().then(|| self.rollout_state(&self.ordered_service));
         let change = |ids: &[String]| {
             let (last, next) = (runs.get(&*ids[0])?, runs.get(&*ids[1])?);
             let since = next.received_at.checked_duration_since(ordered_at)?;
             let changed = since < self.order_duration / 2 && version(last) != version(next);
-            changed.then_some(since)
+            let goes_back =
+                rolled_back.as_ref().is_some_and(|row| row["to"].as_str() != version(next))
+                    && self.in_progress_at.is_some_and(|at| next.received_at > at);
+            (changed && !goes_back).then_some(since)
         };
         Ok(self.user_sessions.iter().flat_map(|ids| ids.windows(2)).filter_map(change).collect())
     }
