Instances say when they are ready to be hub

Cause: a hub that leaves says so, and the first of the succession takes over at once if it holds what a hub passes on. The program never declared that (`set_prepared`, since; only the tests' model of the membership did), so each successor waited for a second after the last beat of the hub that had left. Permits, sessions, digests and news of servers waited with it. Evidence: in the test all permits were asked of instances that were not hub ("NOTHUB", up to 1.0 s after each leave).

Change: an instance that is ready to serve declares it. As the model has it, the first of the succession then is the hub as soon as it is ready, also when it comes back.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -381,6 +381,9 @@
     async fn run_membership<D>(self: Rc<Self>, gateway: Rc<Gateway<D>>) {
         loop {
             let now = gateway.now();
+            if gateway.ready() {
+                self.membership.borrow_mut().set_prepared();
+            }
             let due = self.membership.borrow_mut().tick(now);
             {
                 let membership = self.membership.borrow();
