New coordinators issue one permit at a time from the beginning

So a new one now issues one permit at a time for each server that survives more than one rejection, and after 0.6 s all: three reports.

--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -29,11 +29,13 @@
 /// How long the servers of a domain are not asked for after its coordinator did not answer or has
 /// only just become it, or if there is none.
 const COORDINATOR_BACKOFF: Duration = Duration::from_millis(250);
-/// How long an instance that has become coordinator issues no permits for slots: those that
-/// its predecessor issued may be held.
-const TAKEOVER_PAUSE: Duration = Duration::from_secs(1);
 /// Interval at which an instance reports how it uses brittle servers.
 const SLOT_REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// How long an instance that has become coordinator issues one permit for a slot at a time:
+/// requests that hold those of its predecessor may not have been reported yet.
+const TAKEOVER_PERIOD: Duration = Duration::from_millis(600);
+/// Slots of a server of which a new coordinator knows that one more rejection is survived.
+const TAKEOVER_SLOTS: f64 = 1.0;
 /// Number of rejections that a server is assumed to survive that does not say.
 const DEFAULT_MAX_REJECTIONS: u32 = 1;
 /// Slot number of requests without a permit.
@@ -362,19 +364,19 @@
         };
         let mut slot = 0;
         if let Some(slots) = slots {
-            if now.saturating_sub(since) < TAKEOVER_PAUSE {
+            let max_rejections = max_rejections.unwrap_or(DEFAULT_MAX_REJECTIONS);
+            let is_new = now.saturating_sub(since) < TAKEOVER_PERIOD;
+            if is_new && max_rejections <= 1 {
                 return PermitReply { number, permit: denied(COORDINATOR_BACKOFF) };
             }
             let mut issuer = self.permits.slots.borrow_mut();
             issuer.forget_idle(now);
-            let wanted = SlotRequest {
-                slots: f64::from(slots) * share,
-                max_rejections: max_rejections.unwrap_or(DEFAULT_MAX_REJECTIONS),
-                priority,
-            };
-            match issuer.decide(server, wanted, now) {
+            let usable = f64::from(slots) * share;
+            let slots = if is_new { usable.min(TAKEOVER_SLOTS) } else { usable };
+            match issuer.decide(server, SlotRequest { slots, max_rejections, priority }, now) {
                 (PermitDecision::Granted, permit) => slot = permit,
                 (PermitDecision::Denied(wait), _) => {
+                    let wait = if is_new { wait.min(COORDINATOR_BACKOFF) } else { wait };
                     return PermitReply { number, permit: denied(wait) };
                 }
             }
