Soak: plain servers become brittle, or limit their rate

Two faults more, which overlap with the others, as signals, restarts and a store that comes back from a copy: all plain servers (two slots each) are brittle, or take five requests a second, for up to 1.5 s. No more than two crashes in a run; after the faults four fifths are answered, as before.

--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -4,11 +4,11 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use fakes::{RelayMode, SiteFault};
+use fakes::{BrittleCapacity, RelayMode, SiteFault};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use crate::testbed::{Server, Testbed};
+use crate::testbed::{PLAIN_SLOTS, Server, Testbed};
 
 /// The pause before each fault, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 60..350;
@@ -40,7 +40,7 @@
     while Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
         let duration = Duration::from_millis(rng.random_range(DURATION_MS));
-        match rng.random_range(0..13) {
+        match rng.random_range(0..15) {
             0..=3 => {
                 let server = random_server(testbed, &mut rng);
                 server
@@ -58,6 +58,8 @@
             }
             5 => active.push(store_fault(testbed, rng.random_range(0..6), duration)),
             12 => active.push(revert_store(testbed, duration)),
+            13 => active.push(make_brittle(testbed, duration)),
+            14 => active.push(limit_rate(testbed, duration)),
             6 => {
                 config_version += rng.random_range(1..4);
                 testbed.configure(config_version);
@@ -124,6 +126,34 @@
     })
 }
 
+/// Has all plain servers crash if they have to reject requests, until `duration` has passed.
+fn make_brittle(testbed: &Arc<Testbed>, duration: Duration) -> tokio::task::JoinHandle<()> {
+    // One request waits.
+    let capacity = BrittleCapacity {
+        slots: PLAIN_SLOTS + 1,
+        work: Duration::from_millis(100),
+        max_rejections: 3,
+    };
+    let testbed = testbed.clone();
+    tokio::spawn(async move {
+        let servers = testbed.plain_servers();
+        servers.iter().for_each(|server| server.set_brittle(Some(capacity)));
+        tokio::time::sleep(duration).await;
+        servers.iter().for_each(|server| server.set_brittle(None));
+    })
+}
+
+/// Has all plain servers limit their rate, until `duration` has passed.
+fn limit_rate(testbed: &Arc<Testbed>, duration: Duration) -> tokio::task::JoinHandle<()> {
+    let testbed = testbed.clone();
+    tokio::spawn(async move {
+        let servers = testbed.plain_servers();
+        servers.iter().for_each(|server| server.set_rate_limit(Some("5")));
+        tokio::time::sleep(duration).await;
+        servers.iter().for_each(|server| server.set_rate_limit(None));
+    })
+}
+
 /// Keeps a copy of the store, and after `duration` has the store come back from it. What the
 /// operator and the servers wrote is then written again.
 fn revert_store(testbed: &Arc<Testbed>, duration: Duration) -> tokio::task::JoinHandle<()> {
--- a/tests/soak/testbed.rs
+++ b/tests/soak/testbed.rs
@@ -29,6 +29,12 @@
 const MANY_INSTANCES: usize = 7;
 /// The first seed that is run with [`MANY_INSTANCES`].
 const FIRST_SEED_WITH_MANY_INSTANCES: u64 = 1_000;
+/// The service of plain servers.
+const PLAIN_SERVICE: &str = "desk";
+/// The slots of a plain server.
+pub const PLAIN_SLOTS: usize = 2;
+/// How often servers may crash since they had to reject requests: the users' bound for so few.
+const MAX_CRASHES: u64 = 2;
 /// The setting `grace_s`: how long an instance may take to finish after a SIGTERM.
 pub const GRACE_S: f64 = 4.0;
 /// How long a retired server may still receive requests: the users' platform allows 2 s,
@@ -80,12 +86,20 @@
 
     /// Writes a server's list entry to the store.
     pub fn list(&self, server: &Server, state: &str) {
+        let slots = if server.service == PLAIN_SERVICE { PLAIN_SLOTS } else { 8 };
         let entry = json!({ "service": server.service, "address": server.relay.addr(),
-            "zone": "z1", "version": "v1", "slots": 8, "state": state,
+            "zone": "z1", "version": "v1", "slots": slots, "state": state,
             "cold_remaining_ms": 0, "sequence": 1, "born": 1 });
         self.store.put("servers", &server.id, entry.to_string().as_bytes());
     }
 
+    /// The plain servers that are not retired.
+    pub fn plain_servers(&self) -> Vec<SiteServer> {
+        let servers = self.servers.lock().unwrap();
+        let plain = servers.iter().filter(|server| server.service == PLAIN_SERVICE);
+        plain.map(|server| server.server.clone()).collect()
+    }
+
     /// Writes the newest configuration and all entries of servers again.
     pub fn write_again(&self) {
         self.configure(self.config_version.load(Ordering::Relaxed));
@@ -215,6 +229,8 @@
         );
     }
     check_retired_servers(testbed, &request_log)?;
+    let crashes: u64 = testbed.plain_servers().iter().map(SiteServer::crashes).sum();
+    ensure!(crashes <= MAX_CRASHES, "servers crashed {crashes} times as they had to reject");
     let recovered =
         outcomes.iter().filter(|outcome| outcome.sent_at > faults_ended + RECOVERY_PERIOD / 2);
     let mut statuses: HashMap<(&str, u16), u32> = HashMap::new();
@@ -227,7 +243,7 @@
     ensure!(answered * 10 >= all * 8, "after the faults, requests ended with {statuses:?}");
     let answered = outcomes.iter().filter(|outcome| outcome.status == 200).count();
     Ok(format!(
-        "{} requests, {answered} answered, {} received by servers",
+        "{} requests, {answered} answered, {} received by servers, {crashes} crashes",
         outcomes.len(),
         request_log.len()
     ))
