--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -34,7 +34,7 @@
 /// How long an instance that has become coordinator issues one permit for a slot at a time:
 /// requests that hold those of its predecessor may not have been reported yet.
 const TAKEOVER_PERIOD: Duration = Duration::from_millis(600);
-/// Slots of a server of which a new coordinator knows that one more rejection is survived.
+/// Slots that it uses meanwhile of a server that survives more than one rejection.
 const TAKEOVER_SLOTS: f64 = 1.0;
 /// Number of rejections that a server is assumed to survive that does not say.
 const DEFAULT_MAX_REJECTIONS: u32 = 1;
