Less work for an answer of a brittle service, one place for its metrics

Each answer of a service with notices computed the lowest number of rejections over all of them again, also if it said the same as before; it does so only if the number differs. The metrics of brittle and limited servers were set in three places; `count_servers_in_need` does it for all. `Fleet::record_brittleness` says what it returns. No change in behaviour; tests unchanged. The time saved is not measured.

--- a/crates/dispatch/src/brittleness.rs
+++ b/crates/dispatch/src/brittleness.rs
@@ -70,7 +70,9 @@
             return false;
         }
         let previous = known.notices.insert(server.clone(), notice);
-        known.notices_changed();
+        if previous.is_none_or(|previous| previous.max_rejections != notice.max_rejections) {
+            known.notices_changed();
+        }
         let is_first_sound = !is_brittle && previous.is_none();
         is_first_sound || self.max_rejections(service, server).is_some() != before
     }
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -589,19 +589,19 @@
         }
     }
 
-    /// Records whether a server of a service says that it is brittle. Returns whether this
-    /// changes what is known of it or of other servers.
+    /// Records whether a server of a service says that it is brittle. Returns whether this is
+    /// news, as [`Brittleness::record`] does.
     pub fn record_brittleness(
         &mut self,
         service: &Name,
         server: &Name,
         notice: BrittleNotice,
     ) -> bool {
-        let changed = self.brittleness.record(service, server, notice);
-        if changed {
+        let is_news = self.brittleness.record(service, server, notice);
+        if is_news {
             self.apply_brittleness(service);
         }
-        changed
+        is_news
     }
 
     /// Forgets what was said about brittle servers and not confirmed for long.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -377,7 +377,8 @@
         }
     }
 
-    fn count_servers_in_need(&self, fleet: &Fleet) {
+    /// Updates the metrics of servers whose requests need a permit.
+    pub(crate) fn count_servers_in_need(&self, fleet: &Fleet) {
         self.metrics.limited_servers.set(fleet.limited_servers().count() as i64);
         self.metrics.brittle_servers.set(fleet.brittle_servers().count() as i64);
     }
--- a/crates/gateway/src/notices.rs
+++ b/crates/gateway/src/notices.rs
@@ -79,7 +79,7 @@
         if !self.fleet.borrow_mut().record_brittleness(service, server, notice) {
             return false;
         }
-        self.count_brittle_servers();
+        self.count_servers_in_need(&self.fleet.borrow());
         let fields = || {
             json!({
                 "service": service,
@@ -95,13 +95,9 @@
 
     /// Forgets what was said about brittle servers and not confirmed for long.
     pub(crate) fn expire_brittleness(&self) {
-        self.fleet.borrow_mut().expire_brittleness(self.now());
-        self.count_brittle_servers();
-    }
-
-    fn count_brittle_servers(&self) {
-        let count = self.fleet.borrow().brittle_servers().count();
-        self.metrics.brittle_servers.set(count as i64);
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.expire_brittleness(self.now());
+        self.count_servers_in_need(&fleet);
     }
 
     fn pause_server(&self, server: &str, pause: Duration) {
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -41,7 +41,7 @@
 
     fn log_rate_limit(&self, server: &str) {
         let fleet = self.fleet.borrow();
-        self.metrics.limited_servers.set(fleet.limited_servers().count() as i64);
+        self.count_servers_in_need(&fleet);
         let rate = fleet.get(server).and_then(|server| server.rate_limit.rate);
         let fields = || json!({ "server": server, "rate": rate });
         self.event_log.write("server_limited", self.now(), fields);
