--- a/crates/fakes/src/endless_server.rs
+++ b/crates/fakes/src/endless_server.rs
@@ -10,6 +10,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use crate::loopback::accept_streams;
+
 /// A chunk of 512 bytes.
 const CHUNK: &str = concat!(
     "200\r\n",
@@ -66,22 +68,9 @@
         let (open, requests) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
         let server = EndlessServer { addr, open, requests };
         let (state, id) = (server.clone(), id.to_owned());
-        tokio::spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    () = stop.cancelled() => return,
-                };
-                let Ok((stream, _)) = accepted else { continue };
-                let (state, id, stop) = (state.clone(), id.clone(), stop.clone());
-                tokio::spawn(async move {
-                    tokio::select! {
-                        // An error means that the other side closed the connection.
-                        _ = state.serve(stream, &id, part) => {}
-                        () = stop.cancelled() => {}
-                    }
-                });
-            }
+        accept_streams(listener, stop, move |stream| {
+            let (state, id) = (state.clone(), id.clone());
+            async move { state.serve(stream, &id, part).await }
         });
         Ok(server)
     }
--- a/crates/fakes/src/loopback.rs
+++ b/crates/fakes/src/loopback.rs
@@ -1,9 +1,12 @@
-//! Loopback addresses for instances that tests start.
+//! Loopback addresses and connections of instances and servers that tests start.
 
 use std::net::{IpAddr, Ipv4Addr, UdpSocket};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU16, Ordering};
 
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
 /// The port of the socket by which a process reserves a network.
 const MARKER_PORT: u16 = 7_099;
 
@@ -22,3 +25,28 @@
     let [high, low] = COUNTER.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     Ipv4Addr::new(127, *network, high, low).into()
 }
+
+/// Accepts connections until `stop` is cancelled, and handles each in a task of its own.
+pub(crate) fn accept_streams<H, F>(listener: TcpListener, stop: CancellationToken, handle: H)
+where
+    H: Fn(TcpStream) -> F + Send + 'static,
+    F: Future<Output = std::io::Result<()>> + Send + 'static,
+{
+    tokio::spawn(async move {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = stop.cancelled() => return,
+            };
+            let Ok((stream, _)) = accepted else { continue };
+            let (handling, stop) = (handle(stream), stop.clone());
+            tokio::spawn(async move {
+                tokio::select! {
+                    // An error means that the other side closed the connection.
+                    _ = handling => {}
+                    () = stop.cancelled() => {}
+                }
+            });
+        }
+    });
+}
--- a/crates/fakes/src/truncating_server.rs
+++ b/crates/fakes/src/truncating_server.rs
@@ -9,7 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use crate::loopback::unique_ip;
+use crate::loopback::{accept_streams, unique_ip};
 
 /// The body of the response to the first request on a connection that is kept: an event.
 const FIRST_BODY: &str = "id: 1\ndata: first\n\n";
@@ -50,22 +50,9 @@
         let addr = listener.local_addr()?;
         let server = TruncatingServer { addr, response: Arc::new(Mutex::new(response)) };
         let state = server.clone();
-        tokio::spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    () = stop.cancelled() => return,
-                };
-                let Ok((stream, _)) = accepted else { continue };
-                let (state, stop) = (state.clone(), stop.clone());
-                tokio::spawn(async move {
-                    tokio::select! {
-                        // An error means that the other side closed the connection.
-                        _ = state.serve(stream) => {}
-                        () = stop.cancelled() => {}
-                    }
-                });
-            }
+        accept_streams(listener, stop, move |stream| {
+            let state = state.clone();
+            async move { state.serve(stream).await }
         });
         Ok(server)
     }
