A changed number of survivable rejections is news

What callers saw: nothing that was measured; found by reading.

Cause: a notice of a brittle server was news only if the server began or ceased to be brittle. A number of rejections other than before stayed with the instance that heard it, in its table of notices; neither its own view of the server (`Server::max_rejections`) nor the hub of the server's domain, which stops issuing permits by that number, learned of it. Now the number that is known is compared, not only whether there is one.

Evidence: record_changed_number_of_rejections_is_news failed before, and passes.

After it: dispatch's tests, and limits.rs whole (19 passed, 121 s).

--- a/crates/dispatch/src/brittleness.rs
+++ b/crates/dispatch/src/brittleness.rs
@@ -55,7 +55,7 @@
     /// the request was sent if not: an answer that was on its way when the service became
     /// brittle proves nothing.
     pub fn record(&mut self, service: &Name, server: &Name, notice: BrittleNotice) -> bool {
-        let before = self.max_rejections(service, server).is_some();
+        let before = self.max_rejections(service, server);
         let is_brittle = notice.max_rejections.is_some();
         if !is_brittle && !self.services.contains_key(service) {
             return false;
@@ -74,7 +74,7 @@
             known.notices_changed();
         }
         let is_first_sound = !is_brittle && previous.is_none();
-        is_first_sound || self.max_rejections(service, server).is_some() != before
+        is_first_sound || self.max_rejections(service, server) != before
     }
 
     /// The number of rejections in a second that a server survives; `None` if it is not
--- a/crates/dispatch/tests/brittleness.rs
+++ b/crates/dispatch/tests/brittleness.rs
@@ -41,6 +41,20 @@
     assert_eq!(known.0.max_rejections("other", "a"), None);
 }
 
+#[test]
+fn record_changed_number_of_rejections_is_news() {
+    let survives = |number, ms| BrittleNotice { max_rejections: Some(number), as_of: at(ms) };
+    let mut known = Known::default();
+    known.record("a", survives(8, 10));
+    assert!(known.record("a", survives(2, 20)));
+    assert!(!known.record("a", survives(2, 21)));
+    assert!(known.record("b", survives(5, 30)), "it survives more than was supposed");
+    assert_eq!(
+        ["a", "b", "c"].map(|server| known.0.max_rejections("s", server)),
+        [2, 5, 2].map(Some)
+    );
+}
+
 #[test]
 fn record_answer_on_its_way_when_a_service_becomes_brittle_proves_nothing() {
     let mut known = Known::default();
