--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -207,7 +207,7 @@
     pub(crate) news_desk: RefCell<NewsDesk>,
     /// Notified when there are news of servers.
     pub(crate) server_news: Notify,
-    /// Notified when a server becomes brittle or no longer is.
+    /// Notified when what is known of brittle servers changes.
     pub(crate) brittleness_changed: Notify,
     /// Services of which no server can be reached, and since when.
     pub(crate) lost_services: RefCell<HashMap<Name, MonotonicTime>>,
