--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -90,7 +90,13 @@
 impl Node {
     /// Starts an instance with the command of the deploy file, in the repository's root. The
     /// others name it as a seed by its address `ip`.
-    pub fn start(name: &str, zone: &str, ip: IpAddr, at: &Deployment) -> Result<Self> {
+    pub fn start(
+        name: &str,
+        zone: &str,
+        ip: IpAddr,
+        first_start: bool,
+        at: &Deployment,
+    ) -> Result<Self> {
         let addr = |port| SocketAddr::new(ip, port);
         let seeds: Vec<SocketAddr> =
             at.ips.iter().take(3).map(|ip| SocketAddr::new(*ip, 8_229)).collect();
@@ -101,7 +107,7 @@
             "listen": { "frontend": addr(8_227), "readiness": addr(8_220),
                 "control_plane": addr(8_229) },
             "internal_ports": [7_340, 7_355], "seed_nodes": seeds,
-            "first_start": true, "fault_counted": false,
+            "first_start": first_start, "fault_counted": false,
             "limits": { "cpu_share": 0.25, "cpu_cores": 1, "memory_mb": 260, "max_fds": 4100,
                 "link_mbps": 1000.0, "disk_mb": 0 },
             "data_dir": null, "discovery": "platform", "entry": "vip", "heartbeat_ms": 1200,
@@ -184,9 +190,19 @@
 
     /// Starts the instances, in three zones, and waits until they are ready.
     pub async fn start(&self) -> Result<Vec<Node>> {
+        self.start_all(true).await
+    }
+
+    /// Starts them again after all were killed.
+    pub async fn restart(&self) -> Result<Vec<Node>> {
+        self.start_all(false).await
+    }
+
+    async fn start_all(&self, first_start: bool) -> Result<Vec<Node>> {
         let zones = ["almaty-a", "almaty-b", "almaty-c"];
         let start = |(index, ip): (usize, &IpAddr)| {
-            Node::start(&format!("edge-{}", index + 1), zones[index % 3], *ip, self)
+            let name = format!("edge-{}", index + 1);
+            Node::start(&name, zones[index % 3], *ip, first_start, self)
         };
         let nodes: Vec<Node> = self.ips.iter().enumerate().map(start).collect::<Result<_>>()?;
         for node in &nodes {
