--- a/crates/dispatch/benches/place.rs
+++ b/crates/dispatch/benches/place.rs
@@ -59,6 +59,7 @@
         let request = PlacementRequest {
             service: &service,
             version: None,
+            server: None,
             excluded_versions: &[],
             domain: &domain,
             model: "m0",
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -188,6 +188,11 @@
         own + peers.max(others * decay(now, at, REPORT_DECAY_S))
     }
 
+    /// Estimates the requests on the server as a fraction of its slots.
+    pub fn load_fraction(&self, now: MonotonicTime) -> f64 {
+        self.load(now) / f64::from(self.info.slots.max(1))
+    }
+
     /// Returns the prompt tokens queued ahead of a new request, in mid-sized model
     /// equivalents.
     pub fn prefill_backlog(&self) -> f64 {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,11 @@
 //! - [`Helpers`]: which instance sends a request on behalf of this one (links to the
 //!   servers that this instance lost and others have);
 //! - [`Rollout`]: which version of a service gets a request;
+//! - [`TestServer`]: which requests load a server of a new version before all requests shift
+//!   to it (versions that are bad only under load);
+//! - [`find_regression()`]: whether a new version fails more often (versions that fail on some
+//!   routes or under load only);
+//! - [`PaceByLoad`]: whether a new version is slow (servers of which some are idle);
 //! - [`PaceReference`]: whether an answer of a new version is slow (versions that begin
 //!   their answers in time and then are several times slower);
 //! - [`ReaderElection`]: which instance reads the store for the others;
@@ -35,11 +40,14 @@
 mod detour;
 mod fleet;
 mod helpers;
+mod load_test;
 mod pace;
+mod pace_by_load;
 mod place;
 mod poll_schedule;
 mod rate_limit;
 mod reader_election;
+mod regression;
 mod rollout;
 mod route_stats;
 mod session_outbox;
@@ -59,15 +67,21 @@
 pub use detour::is_detour_faster;
 pub use fleet::{Fleet, LoadReport, Outcome, PromptPartKey, Reach, Server, ServerInfo, ServerLoad};
 pub use helpers::{HelperCandidate, HelperOutcome, Helpers};
+pub use load_test::{Exposure, ExposureLimit, RouteTime, TestRequest, TestServer, test_server};
 pub use pace::{AnswerTimes, PaceClass, PaceReference, StreamPace};
-pub use place::{Placement, PlacementError, PlacementRequest, PromptPart, place};
+pub use pace_by_load::{PaceByLoad, PaceComparison};
+pub use place::{
+    Placement, PlacementError, PlacementRequest, PromptPart, place, prompt_processing_ms,
+};
 pub use poll_schedule::{PollSchedule, PollSituation, PollStep, READER_POLL_WAIT};
 pub use rate_limit::{PermitDecision, PermitIssuer, RateLimit, RateNotice};
 pub use reader_election::{FeedMode, READER_TIMEOUT, ReaderElection};
+pub use regression::{Regression, failure_evidence, find_regression, pooled_evidence};
 pub use rollout::{
-    Decision, Phase, Rollout, RolloutOrder, RolloutState, RolloutStats, Sample, Side, in_canary,
+    Decision, LoadTest, Phase, Rollout, RolloutOrder, RolloutState, RolloutStats, Sample, Side,
+    in_canary,
 };
-pub use route_stats::RouteStats;
+pub use route_stats::{Counts, RolloutAnswer, RouteDetails, RouteStats, ServerCounts};
 pub use session_outbox::SessionOutbox;
 pub use sessions::Sessions;
 pub use slots::{SlotIssuer, SlotRequest, SlotUse};
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -55,7 +55,7 @@
 }
 
 /// The times of one answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct AnswerTimes {
     /// Time to the first event of a stream.
     pub first_event: Option<Duration>,
@@ -65,6 +65,8 @@
     pub whole: Option<Duration>,
     /// Number of requests on the server, if it reports that.
     pub load: Option<u32>,
+    /// How many times as slow as usual the server says that it is.
+    pub slowdown: Option<f64>,
 }
 
 impl AnswerTimes {
@@ -72,10 +74,12 @@
     /// time to the end says how long the answer is, so that it does not count.
     fn measures(&self) -> impl Iterator<Item = (Pace, Duration, f64)> {
         let whole = self.whole.filter(|_| self.pause.is_none());
+        // The report is as old as the answer, so it says little of the pauses that follow.
+        let slowdown = self.slowdown.unwrap_or(1.0).max(1.0);
         let measures = [
-            (Pace::FirstEvent, self.first_event, FIRST_EVENT_ALLOWANCE),
+            (Pace::FirstEvent, self.first_event, FIRST_EVENT_ALLOWANCE * slowdown),
             (Pace::Pause, self.pause, 1.0),
-            (Pace::Whole, whole, 1.0),
+            (Pace::Whole, whole, slowdown),
         ];
         measures.into_iter().filter_map(|(pace, time, divisor)| Some((pace, time?, divisor)))
     }
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -53,12 +53,14 @@
 }
 
 /// A request to be placed.
-#[derive(Debug)]
+#[derive(Debug, Clone, Copy)]
 pub struct PlacementRequest<'a> {
     /// Service.
     pub service: &'a Name,
     /// The only version that may serve it; `None` allows every version.
     pub version: Option<&'a Name>,
+    /// The only server that may serve it; `None` allows every server.
+    pub server: Option<&'a Name>,
     /// Versions that may not serve it.
     pub excluded_versions: &'a [Name],
     /// Failure domain of this instance.
@@ -116,6 +118,7 @@
 ) -> Result<Placement, PlacementError> {
     let allowed = |server: &&Server| {
         !server.is_leaving()
+            && request.server.is_none_or(|id| *id == server.info.id)
             && request.version.is_none_or(|version| *version == server.info.version)
             && !request.excluded_versions.contains(&server.info.version)
     };
@@ -173,6 +176,13 @@
     })
 }
 
+/// Returns the time that a server takes to process a prompt, in ms, if it has none of its parts
+/// cached.
+pub fn prompt_processing_ms(parts: &[PromptPart], work_factor: f64) -> f64 {
+    let tokens: f64 = parts.iter().map(|part| f64::from(part.tokens)).sum();
+    tokens * work_factor / PREFILL_TOKENS_PER_MS
+}
+
 /// Returns until when a server can't get this request, because it is paused or denies permits, if
 /// that is so.
 fn unavailable_until(
--- a/crates/dispatch/src/rollout.rs
+++ b/crates/dispatch/src/rollout.rs
@@ -1,7 +1,8 @@
 //! Rollouts: which version of a service gets a request while a new one is introduced.
 //!
 //! An order names the new version and the duration of the rollout. In the first half
-//! a small share of new sessions runs on the new version as a canary. Then all
+//! a small share of new sessions runs on the new version as a canary, and one of its
+//! servers gets further requests until it carries load; see [`TestServer`]. Then all
 //! requests shift to it, and the order completes once the old version has no requests
 //! in flight. If the new version proves worse, the order is rolled back at any point,
 //! and this is final.
@@ -12,6 +13,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::MonotonicTime;
+#[cfg(doc)]
+use crate::load_test::TestServer;
+use crate::pace_by_load::PaceComparison;
 
 /// Fraction of sessions in the canary.
 const CANARY_FRACTION: f64 = 0.1;
@@ -21,10 +25,18 @@
 /// How long after the start of the canary there may be sessions that ran on the old version
 /// elsewhere and are not known here yet.
 const SETTLING_TIME: Duration = Duration::from_millis(800);
+/// Fraction of the duration after which a server of the new version is loaded with requests
+/// without session.
+const LOAD_TEST_START: f64 = 0.2;
+/// Fraction of the duration after which it gets requests of sessions, too.
+const FULL_TEST_START: f64 = 0.52;
 /// Fraction of the duration after which requests start to shift.
-const SHIFT_START: f64 = 0.52;
+const SHIFT_START: f64 = 0.66;
 /// Fraction of the duration after which all requests have shifted.
-const SHIFT_END: f64 = 0.66;
+const SHIFT_END: f64 = 0.72;
+/// Fraction of the duration before which the order does not complete: the new version shows
+/// under the load of both versions whether it is sound.
+const EARLIEST_COMPLETION: f64 = 0.84;
 /// Fraction of the duration after which the order completes even if the old version
 /// still has requests in flight.
 const COMPLETION_DEADLINE: f64 = 0.88;
@@ -40,6 +52,13 @@
 const PACE_RATIO_LIMIT: f64 = 1.6;
 /// The same once all requests have shifted: the new version then has the load of both.
 const SHIFTED_PACE_LIMIT: f64 = 2.5;
+/// Natural logarithm of how many times likelier the failures of all routes together must be if
+/// the new version is worse.
+const MIN_FAILURE_EVIDENCE: f64 = 3.0;
+/// Number of standard errors by which a pace compared at like load must exceed what is expected.
+const PACE_CONFIDENCE: f64 = 2.5;
+/// Multiple of the expected pace that must be exceeded by that.
+const CERTAIN_PACE_LIMIT: f64 = 1.2;
 
 /// An operator's rollout order.
 #[derive(Debug, Clone, PartialEq)]
@@ -85,14 +104,31 @@
     NotStarted,
     /// A share of the sessions runs on the new version.
     Canary,
+    /// One server of the new version gets requests until it carries load.
+    LoadTest,
     /// Requests are shifting; holds the fraction that has shifted.
     Shifting(f64),
     /// All requests go to the new version.
     Shifted,
+    /// The order is completed once the old version has no requests in flight.
+    Settled,
     /// The order is completed even if the old version has requests in flight.
     Overdue,
 }
 
+/// The requests that a server of the new version gets to carry load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadTest {
+    /// None.
+    Off,
+    /// Those without session, which may run on any version.
+    WithoutSession,
+    /// All.
+    All,
+    /// Those that go to the new version anyway.
+    NewVersion,
+}
+
 /// Answers of both versions as observed by one or more instances.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct RolloutStats {
@@ -102,6 +138,10 @@
     pub new: Sample,
     /// Requests in flight on the old version.
     pub old_in_flight: u32,
+    /// Evidence of failures against the new version, if the answers are known by route.
+    pub failure_evidence: Option<f64>,
+    /// Pace of the new version compared at like load, if that is known.
+    pub like_pace: Option<PaceComparison>,
 }
 
 /// Answer counts of one version.
@@ -166,13 +206,26 @@
     /// Whether the new version is clearly worse than the old one.
     pub fn is_regression(&self, phase: Phase) -> bool {
         let max_rate = FAILURE_RATIO_LIMIT * self.old.failure_rate() + FAILURE_RATE_MARGIN;
-        let fails = self.new.bad >= MIN_FAILURES && self.new.failure_rate() > max_rate;
-        let timed = self.new.timed >= MIN_TIMED_ANSWERS && self.old.timed >= MIN_TIMED_ANSWERS;
-        let pace_limit = match phase {
-            Phase::NotStarted | Phase::Canary | Phase::Shifting(_) => PACE_RATIO_LIMIT,
-            Phase::Shifted | Phase::Overdue => SHIFTED_PACE_LIMIT,
+        let fails = self.new.bad >= MIN_FAILURES
+            && self.new.failure_rate() > max_rate
+            && self.failure_evidence.is_none_or(|evidence| evidence >= MIN_FAILURE_EVIDENCE);
+        fails || self.is_slow(phase)
+    }
+
+    fn is_slow(&self, phase: Phase) -> bool {
+        let limit = match phase {
+            Phase::NotStarted | Phase::Canary | Phase::LoadTest | Phase::Shifting(_) => {
+                PACE_RATIO_LIMIT
+            }
+            Phase::Shifted | Phase::Settled | Phase::Overdue => SHIFTED_PACE_LIMIT,
         };
-        fails || (timed && self.new.mean_pace() > pace_limit * self.old.mean_pace())
+        if let Some(PaceComparison { answers, mean, error, expected }) = self.like_pace {
+            return answers >= MIN_TIMED_ANSWERS
+                && mean > limit * expected
+                && mean - PACE_CONFIDENCE * error > CERTAIN_PACE_LIMIT * expected;
+        }
+        let timed = self.new.timed >= MIN_TIMED_ANSWERS && self.old.timed >= MIN_TIMED_ANSWERS;
+        timed && self.new.mean_pace() > limit * self.old.mean_pace()
     }
 }
 
@@ -215,19 +268,55 @@
         now.saturating_sub(self.order.started_at) + self.order.before_start
     }
 
+    /// Returns the fraction of the duration that has passed.
+    pub fn progress(&self, now: MonotonicTime) -> f64 {
+        self.age(now).as_secs_f64() / self.order.duration.as_secs_f64().max(0.1)
+    }
+
+    /// Returns which requests a server of the new version gets to carry load.
+    pub fn load_test(&self, now: MonotonicTime) -> LoadTest {
+        let progress = self.progress(now);
+        if self.state != RolloutState::InProgress
+            || progress < LOAD_TEST_START
+            || self.age(now) < CANARY_DELAY
+        {
+            LoadTest::Off
+        } else if progress < FULL_TEST_START {
+            LoadTest::WithoutSession
+        } else if progress < SHIFT_START {
+            LoadTest::All
+        } else {
+            LoadTest::NewVersion
+        }
+    }
+
+    /// Returns the version for a request without session; `draw` is a random number from 0 to 1.
+    ///
+    /// During a load test, those that go to the new version are chosen by the load that its
+    /// server needs.
+    pub fn side_without_session(&self, draw: f64, now: MonotonicTime) -> Side {
+        match self.load_test(now) {
+            LoadTest::Off | LoadTest::NewVersion => self.side(draw, None, now),
+            LoadTest::WithoutSession | LoadTest::All => Side::Old,
+        }
+    }
+
     /// Returns the current phase.
     pub fn phase(&self, now: MonotonicTime) -> Phase {
-        let age = self.age(now);
-        if age < CANARY_DELAY {
+        if self.age(now) < CANARY_DELAY {
             return Phase::NotStarted;
         }
-        let progress = age.as_secs_f64() / self.order.duration.as_secs_f64().max(0.1);
-        if progress < SHIFT_START {
+        let progress = self.progress(now);
+        if progress < FULL_TEST_START {
             Phase::Canary
+        } else if progress < SHIFT_START {
+            Phase::LoadTest
         } else if progress < SHIFT_END {
             Phase::Shifting((progress - SHIFT_START) / (SHIFT_END - SHIFT_START))
-        } else if progress < COMPLETION_DEADLINE {
+        } else if progress < EARLIEST_COMPLETION {
             Phase::Shifted
+        } else if progress < COMPLETION_DEADLINE {
+            Phase::Settled
         } else {
             Phase::Overdue
         }
@@ -247,11 +336,11 @@
         match (self.phase(now), runs_on_new) {
             (_, Some(true)) => Side::New,
             (Phase::NotStarted, _) | (Phase::Canary, Some(false)) => Side::Old,
-            (Phase::Canary, None) if in_canary(position) => Side::New,
-            (Phase::Canary, None) => Side::Old,
+            (Phase::Canary | Phase::LoadTest, None) if in_canary(position) => Side::New,
+            (Phase::Canary, None) | (Phase::LoadTest, _) => Side::Old,
             (Phase::Shifting(share), _) if position < CANARY_FRACTION.max(share) => Side::New,
             (Phase::Shifting(_), _) => Side::Old,
-            (Phase::Shifted | Phase::Overdue, _) => Side::New,
+            (Phase::Shifted | Phase::Settled | Phase::Overdue, _) => Side::New,
         }
     }
 
@@ -279,9 +368,13 @@
             return Decision::RollBack;
         }
         match self.phase(now) {
-            Phase::NotStarted | Phase::Canary | Phase::Shifting(_) => Decision::Wait,
-            Phase::Shifted if stats.old_in_flight > 0 => Decision::Wait,
-            Phase::Shifted | Phase::Overdue => Decision::Complete,
+            Phase::NotStarted
+            | Phase::Canary
+            | Phase::LoadTest
+            | Phase::Shifting(_)
+            | Phase::Shifted => Decision::Wait,
+            Phase::Settled if stats.old_in_flight > 0 => Decision::Wait,
+            Phase::Settled | Phase::Overdue => Decision::Complete,
         }
     }
 }
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -16,6 +16,7 @@
     tried: Vec<config::Name>,
     excluded_versions: Vec<config::Name>,
     version: Option<config::Name>,
+    server: Option<config::Name>,
     priority: u8,
     no_permits: bool,
 }
@@ -30,6 +31,7 @@
     let request = PlacementRequest {
         service: &service,
         version: query.version.as_ref(),
+        server: query.server.as_ref(),
         excluded_versions: &query.excluded_versions,
         domain: &domain,
         model: "small",
@@ -51,6 +53,17 @@
     fleet
 }
 
+#[test]
+fn place_on_one_server_only() {
+    let query = Query { server: Some("s3".into()), ..Query::default() };
+    for number in 0..10 {
+        let placed = chosen(&fleet(8), &query, f64::from(number) / 10.0, at(0));
+        assert_eq!(placed.as_deref(), Ok("s3"));
+    }
+    let tried = Query { tried: vec!["s3".into()], ..query };
+    assert_eq!(chosen(&fleet(8), &tried, 0.5, at(0)), Err(PlacementError::AllTried));
+}
+
 #[test]
 fn place_without_servers() {
     let placed = chosen(&Fleet::default(), &Query::default(), 0.5, at(0));
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use config::Name;
-use dispatch::{RolloutState, RolloutStats, RouteStats, Sample, ServerLoad};
+use dispatch::{Counts, RolloutState, RolloutStats, RouteDetails, RouteStats, Sample, ServerLoad};
 use serde::{Deserialize, Serialize};
 
 use crate::era_support::is_same_revision;
 use crate::gateway::Gateway;
-use crate::rollouts::StatsSource;
+use crate::rollouts::{StatsSource, TrackedRollout};
 
 /// Maximum number of crash counts of requests in one datagram.
 const MAX_POISON: usize = 32;
@@ -78,18 +78,18 @@
 
 /// Answers of a rollout by route. Sent beside a digest with answer counts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(crate) struct RouteReport {
+pub(crate) struct RouteReport<T> {
     scope: Scope,
     domain: Name,
     incarnation: u64,
     service: Name,
     revision: u64,
-    routes: Vec<(Name, EncodedRoute)>,
+    routes: Vec<(Name, T)>,
 }
 
-/// A [`RouteStats`].
+/// A [`RouteStats`] without its details.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct EncodedRoute {
+pub(crate) struct EncodedRoute {
     old: (u32, u32),
     new: (u32, u32),
     failing_servers: u64,
@@ -156,7 +156,26 @@
     }
 }
 
-impl RouteReport {
+impl RouteReport<RouteStats> {
+    /// Returns the answers and their details, which instances of earlier builds don't know.
+    pub fn split(&self) -> (RouteReport<EncodedRoute>, RouteReport<RouteDetails>) {
+        (self.map(EncodedRoute::new), self.map(|stats| stats.details.reported()))
+    }
+}
+
+impl<T> RouteReport<T> {
+    fn map<U>(&self, change: impl Fn(&T) -> U) -> RouteReport<U> {
+        let routes = self.routes.iter();
+        RouteReport {
+            scope: self.scope,
+            domain: self.domain.clone(),
+            incarnation: self.incarnation,
+            service: self.service.clone(),
+            revision: self.revision,
+            routes: routes.map(|(route, stats)| (route.clone(), change(stats))).collect(),
+        }
+    }
+
     /// Changes the revision that it names.
     pub fn change_revision(&mut self, change: impl Fn(u64) -> u64) {
         self.revision = change(self.revision);
@@ -209,7 +228,11 @@
 
     /// Returns the answers by route of the rollouts in progress in which a route of the new
     /// version has any.
-    pub(crate) fn route_reports(&self, scope: Scope, incarnation: u64) -> Vec<RouteReport> {
+    pub(crate) fn route_reports(
+        &self,
+        scope: Scope,
+        incarnation: u64,
+    ) -> Vec<RouteReport<RouteStats>> {
         let rollouts = self.rollouts.borrow();
         let in_progress =
             rollouts.values().filter(|tracked| tracked.rollout.state == RolloutState::InProgress);
@@ -219,11 +242,8 @@
                 Scope::Instance => tracked.own_routes.clone(),
                 Scope::Domain | Scope::Installation => tracked.sum_routes(is_near),
             };
-            let mut routes: Vec<(Name, EncodedRoute)> = routes
-                .into_iter()
-                .filter(|(_, stats)| stats.new.0 > 0)
-                .map(|(route, stats)| (route, EncodedRoute::new(&stats)))
-                .collect();
+            let mut routes: Vec<(Name, RouteStats)> =
+                routes.into_iter().filter(|(_, stats)| stats.new.answers > 0).collect();
             routes.sort_by(|a, b| a.0.cmp(&b.0));
             RouteReport {
                 scope,
@@ -238,23 +258,46 @@
     }
 
     /// Applies the answers by route that another instance reports.
-    pub(crate) fn apply_route_report(&self, report: RouteReport, from: SocketAddr) {
-        let source = match report.scope {
-            Scope::Domain => StatsSource::Domain(report.domain),
-            Scope::Instance | Scope::Installation => {
-                StatsSource::Instance(from, report.incarnation)
-            }
-        };
-        let Some(revision) = self.matching_revision(&report.service, report.revision) else {
-            return;
-        };
-        self.update_rollout(&report.service, revision, |tracked| {
-            let routes = report.routes.into_iter();
-            let routes = routes.map(|(route, stats)| (route, stats.stats())).collect();
+    pub(crate) fn apply_routes(&self, report: RouteReport<EncodedRoute>, from: SocketAddr) {
+        self.apply_by_route(report, from, |tracked, source, routes| {
+            let routes = routes.into_iter().map(|(route, stats)| (route, stats.stats())).collect();
             tracked.peer_routes.insert(source, routes);
         });
     }
 
+    /// Applies the details of the answers by route that another instance reports. Returns whether
+    /// the new version failed more of them than it last reported.
+    pub(crate) fn apply_route_details(
+        &self,
+        report: RouteReport<RouteDetails>,
+        from: SocketAddr,
+    ) -> bool {
+        let mut more_failures = false;
+        self.apply_by_route(report, from, |tracked, source, routes| {
+            let failures = |routes: &[(Name, RouteDetails)]| -> u32 {
+                routes.iter().map(|(_, details)| details.servers.failures()).sum()
+            };
+            let reported = failures(&routes);
+            let last = tracked.peer_details.insert(source, routes);
+            more_failures = reported > last.map_or(0, |last| failures(&last));
+        });
+        more_failures
+    }
+
+    fn apply_by_route<T>(
+        &self,
+        report: RouteReport<T>,
+        from: SocketAddr,
+        apply: impl FnOnce(&mut TrackedRollout, StatsSource, Vec<(Name, T)>),
+    ) {
+        let source = stats_source(report.scope, report.domain, report.incarnation, from);
+        if let Some(revision) = self.matching_revision(&report.service, report.revision) {
+            self.update_rollout(&report.service, revision, |tracked| {
+                apply(tracked, source, report.routes);
+            });
+        }
+    }
+
     /// Returns this instance's loads, sorted by server so that they can be compared.
     pub(crate) fn own_loads(&self) -> Loads {
         let mut servers: Vec<(Name, u32, u32)> = self
@@ -281,12 +324,7 @@
     /// differs from the one known here.
     pub(crate) fn apply_digest(&self, digest: Digest, from: SocketAddr) {
         let now = self.now();
-        let source = match digest.scope {
-            Scope::Domain => StatsSource::Domain(digest.domain),
-            Scope::Instance | Scope::Installation => {
-                StatsSource::Instance(from, digest.incarnation)
-            }
-        };
+        let source = stats_source(digest.scope, digest.domain, digest.incarnation, from);
         for report in digest.rollouts {
             let Some(revision) = self.matching_revision(&report.service, report.revision) else {
                 continue;
@@ -326,6 +364,13 @@
     }
 }
 
+fn stats_source(scope: Scope, domain: Name, incarnation: u64, from: SocketAddr) -> StatsSource {
+    match scope {
+        Scope::Domain => StatsSource::Domain(domain),
+        Scope::Instance | Scope::Installation => StatsSource::Instance(from, incarnation),
+    }
+}
+
 impl AnswerCounts {
     fn new(stats: &RolloutStats) -> Self {
         AnswerCounts {
@@ -340,19 +385,29 @@
             old: self.old.sample(),
             new: self.new.sample(),
             old_in_flight: self.old_in_flight,
+            ..RolloutStats::default()
         }
     }
 }
 
 impl EncodedRoute {
     fn new(stats: &RouteStats) -> Self {
-        let RouteStats { old, new, failing_servers } = *stats;
-        EncodedRoute { old, new, failing_servers }
+        let pair = |counts: Counts| (counts.answers, counts.bad);
+        EncodedRoute {
+            old: pair(stats.old),
+            new: pair(stats.new),
+            failing_servers: stats.failing_servers,
+        }
     }
 
     fn stats(&self) -> RouteStats {
-        let EncodedRoute { old, new, failing_servers } = *self;
-        RouteStats { old, new, failing_servers }
+        let counts = |(answers, bad)| Counts { answers, bad };
+        RouteStats {
+            old: counts(self.old),
+            new: counts(self.new),
+            failing_servers: self.failing_servers,
+            details: RouteDetails::default(),
+        }
     }
 }
 
--- a/crates/gateway/src/era_support.rs
+++ b/crates/gateway/src/era_support.rs
@@ -216,7 +216,7 @@
     }
 }
 
-impl WithoutEras for RouteReport {
+impl<T> WithoutEras for RouteReport<T> {
     fn without_eras(mut self) -> Self {
         self.change_revision(number);
         self
@@ -232,6 +232,9 @@
                 Some(Message::Digest(digest.clone().without_eras()))
             }
             Message::Routes(report) => Some(Message::Routes(report.clone().without_eras())),
+            Message::RouteDetails(report) => {
+                Some(Message::RouteDetails(report.clone().without_eras()))
+            }
             Message::Digest(_)
             | Message::Membership(_)
             | Message::Loads(_)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -8,7 +8,7 @@
 use dispatch::{
     Admission, AdmissionDecision, AnswerTimes, Cascade, Outcome, PaceClass, Placement,
     PlacementError, PlacementRequest, PromptPartKey, RetryMode, Side, Verdict, is_detour_faster,
-    place,
+    place, prompt_processing_ms,
 };
 use error::{Kind, NotRunProof, Refusal};
 use http::{HeaderMap, Request, Response};
@@ -22,6 +22,7 @@
     AnswerNote, Handover, HandoverReason, add_refusal_headers, is_final, remove_headers,
 };
 use crate::metrics::Metrics;
+use crate::rollouts::RolloutRequest;
 use crate::send::{InFlight, MAX_BUFFERED_BODY, PendingResponse, SendOptions, SendResult, Target};
 use crate::wire::Dialect;
 
@@ -36,6 +37,9 @@
 ///
 /// A typical response takes about this long.
 const MIN_RETRY_TIME_SHARE: f64 = 0.3;
+/// The share of the target latency after which a server in a load test may begin an answer, by
+/// estimate. It is to carry load, but not to keep callers waiting.
+const MAX_TEST_WAIT_SHARE: f64 = 0.35;
 /// Number of servers that can't be reached after which a request is handed to another
 /// instance, although further servers could be tried.
 const UNREACHABLE_TO_HAND_OVER: usize = 2;
@@ -170,6 +174,10 @@
     }
 }
 
+fn rounded(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
 /// Decrements the number of open requests when dropped.
 struct OpenRequestGuard<D>(Rc<Gateway<D>>);
 
@@ -423,18 +431,27 @@
     ) -> Result<Placement, PlacementError> {
         let gateway = &self.gateway;
         let now = gateway.now();
-        let (version, excluded) = match gateway.rollout_side(&self.service, self.request.session) {
-            Some((Side::New, new)) => (Some(new), Vec::new()),
-            Some((Side::Old, new)) => (None, vec![new]),
+        let work_factor = Cascade::work_factor(progress.model_index, self.route.models.len());
+        let choice = gateway.rollout_choice(&RolloutRequest {
+            service: &self.service,
+            route: &self.route.name,
+            session: self.request.session,
+            prompt_ms: prompt_processing_ms(&self.request.prompt_parts, work_factor),
+        });
+        let test_server = choice.as_ref().and_then(|choice| choice.test_server.clone());
+        let (version, excluded) = match choice {
+            Some(choice) if choice.side == Side::New => (Some(choice.to), Vec::new()),
+            Some(choice) => (None, vec![choice.to]),
             None => (None, gateway.fleet.borrow().unknown_versions(&self.service, now)),
         };
         let mut wanted = PlacementRequest {
             service: &self.service,
             version: version.as_ref(),
+            server: None,
             excluded_versions: &excluded,
             domain: &gateway.settings.domain,
             model: self.model(progress),
-            work_factor: Cascade::work_factor(progress.model_index, self.route.models.len()),
+            work_factor,
             parts: &self.request.prompt_parts,
             tried: &progress.tried,
             priority: self.priority(),
@@ -443,6 +460,22 @@
         };
         let fleet = gateway.fleet.borrow();
         let random = gateway.random();
+        if let Some(server) = &test_server {
+            let on_server = PlacementRequest {
+                version: None,
+                server: Some(server),
+                excluded_versions: &[],
+                ..wanted
+            };
+            let max_wait = self.route.target_latency.mul_f64(MAX_TEST_WAIT_SHARE);
+            if let Ok(placement) = place(&fleet, &on_server, random, now)
+                && !placement.unreachable
+                && !placement.needs_permit
+                && placement.estimate_ms <= max_wait.as_secs_f64() * 1e3
+            {
+                return Ok(placement);
+            }
+        }
         let mut placement = place(&fleet, &wanted, random, now);
         let none_left =
             matches!(placement, Err(PlacementError::AllTried | PlacementError::Full(_)));
@@ -578,7 +611,7 @@
         if self.route.stream && pending.status.is_success() {
             return self.start_stream(progress, pending, in_flight).await;
         }
-        let PendingResponse { response, status, .. } = *pending;
+        let PendingResponse { response, info, status, .. } = *pending;
         let headers = response.head.headers.clone();
         let body = match response.collect(MAX_BUFFERED_BODY).await {
             Ok(Some(body)) => body,
@@ -596,12 +629,13 @@
         self.record_begun();
         let failed = status.is_server_error();
         let server = in_flight.server.clone();
-        self.record_attempt(progress, &in_flight, if failed { "failed" } else { "answered" });
         if !failed {
-            let whole = self.gateway.now().saturating_sub(in_flight.sent_at);
-            let times = AnswerTimes { whole: Some(whole), ..AnswerTimes::default() };
+            let whole = Some(self.gateway.now().saturating_sub(in_flight.sent_at));
+            let slowdown = info.report.map(|report| report.slowdown);
+            let times = AnswerTimes { whole, slowdown, ..AnswerTimes::default() };
             in_flight.record_pace(&self.pace_class(progress), &times);
         }
+        self.record_attempt(progress, &in_flight, if failed { "failed" } else { "answered" });
         in_flight.end(if failed { Outcome::Failed } else { Outcome::Success });
         let mut response = Response::new(ResponseBody::full(body));
         *response.status_mut() = status;
@@ -667,6 +701,10 @@
         if let Some(rate) = in_flight.rate_limit {
             entry["limit"] = json!(rate);
         }
+        if let Some((pace, load)) = in_flight.pace_and_load() {
+            entry["pace"] = json!(rounded(pace));
+            entry["load"] = json!(rounded(load));
+        }
         if in_flight.has_permit() {
             entry["permit"] = json!(true);
         }
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -106,7 +106,7 @@
             .and_then(|since| packed_table(peers, last_answer, table, since, eras)),
         None if path == STATE_PATH && gateway.rollout_states_known() => {
             let mut digest = peers.installation_digest(gateway);
-            digest.sessions = gateway.canary_sessions();
+            digest.sessions = gateway.shared_sessions();
             let digest = if eras { digest } else { digest.without_eras() };
             pack(&digest).ok().map(Bytes::from)
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,8 +9,8 @@
 use config::Name;
 use conn::Pool;
 use dispatch::{
-    Blame, Catalog, Fleet, Helpers, MonotonicTime, PaceReference, Pressure, PromptPart,
-    RetryBudget, Server, ServerInfo, Sessions,
+    Blame, Catalog, ExposureLimit, Fleet, Helpers, MonotonicTime, PaceReference, Pressure,
+    PromptPart, RetryBudget, Server, ServerInfo, Sessions,
 };
 use policy::Poison;
 use rand::{RngExt, SeedableRng};
@@ -60,6 +60,8 @@
     pub retry_window: Duration,
     /// How long a session stays pinned to its version after its last request.
     pub session_ttl: Duration,
+    /// How many requests a bad version may get during its rollout.
+    pub exposure_limit: ExposureLimit,
 }
 
 /// A builder for [`Gateway`].
@@ -79,6 +81,7 @@
             retry_slack: 20.0,
             retry_window: Duration::from_secs(10),
             session_ttl: Duration::from_secs(5),
+            exposure_limit: ExposureLimit { share: 0.1, slack: 0.0 },
         };
         GatewayBuilder { settings, seed: 1 }
     }
@@ -97,6 +100,12 @@
         self
     }
 
+    /// Sets how many requests a bad version may get during its rollout.
+    pub fn exposure_limit(mut self, limit: ExposureLimit) -> Self {
+        self.settings.exposure_limit = limit;
+        self
+    }
+
     /// Sets the seed of the random number generator.
     pub fn seed(mut self, seed: u64) -> Self {
         self.seed = seed;
@@ -129,7 +138,8 @@
             freshness: RefCell::default(),
             paces: RefCell::default(),
             rollouts: RefCell::default(),
-            rollout_started: Notify::new(),
+            rollout_changed: Notify::new(),
+            digest_due: Notify::new(),
             news_desk: RefCell::default(),
             server_news: Notify::new(),
             brittleness_changed: Notify::new(),
@@ -201,8 +211,10 @@
     /// The pace of the answers of the current versions.
     pub(crate) paces: RefCell<PaceReference>,
     pub(crate) rollouts: RefCell<HashMap<Name, TrackedRollout>>,
-    /// Notified when an order becomes known.
-    pub(crate) rollout_started: Notify,
+    /// Notified when an order becomes known and when a new version fails an answer.
+    pub(crate) rollout_changed: Notify,
+    /// Notified when a digest is to be sent soon.
+    pub(crate) digest_due: Notify,
     /// What servers said of themselves and was not told to the other instances yet.
     pub(crate) news_desk: RefCell<NewsDesk>,
     /// Notified when there are news of servers.
@@ -250,6 +262,7 @@
             tokio::time::sleep(CRASH_PROBE_DELAY).await;
             if gateway.pool.open(addr).await.is_ok() {
                 gateway.record_rollout_answer(&origin, true);
+                gateway.record_route_answer(&origin, true);
                 return;
             }
             gateway.mark_unreachable(&origin.server);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,14 +12,14 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result, anyhow};
-use dispatch::{BlameReport, MonotonicTime, READER_TIMEOUT};
+use dispatch::{BlameReport, MonotonicTime, READER_TIMEOUT, RouteDetails};
 use members::{Envelope, Member, Membership, Role};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 
-use crate::digest::{Digest, Loads, RouteReport, Scope};
+use crate::digest::{Digest, EncodedRoute, Loads, RouteReport, Scope};
 use crate::era_support::EraSupport;
 use crate::fetch::serve_peers;
 use crate::gateway::Gateway;
@@ -38,6 +38,8 @@
 const MEMBERSHIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which changed state is sent.
 const DIGEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum pause between two digests, so that the answers of one moment are reported together.
+const MIN_DIGEST_PAUSE: Duration = Duration::from_millis(40);
 /// Number of intervals after which unchanged state is sent again while it matters to
 /// receivers that it is recent, or that may have just started.
 const DIGEST_REFRESH_TICKS: u32 = 4;
@@ -147,11 +149,13 @@
     /// Tells the coordinator that a request for which it issued a permit has ended.
     PermitRelease(PermitRelease),
     /// Answers of a rollout by route.
-    Routes(RouteReport),
+    Routes(RouteReport<EncodedRoute>),
     /// What servers say of themselves.
     ServerReports(Vec<ServerReport>),
     /// How the sender uses the slots of brittle servers.
     SlotUses(SlotUses),
+    /// Answers of a rollout by route, load, server and pace.
+    RouteDetails(RouteReport<RouteDetails>),
 }
 
 impl Peers {
@@ -400,7 +404,10 @@
         let (mut to_hub, mut to_hubs, mut to_domain) =
             (Sent::default(), Sent::default(), Sent::default());
         loop {
-            tokio::time::sleep(DIGEST_INTERVAL).await;
+            tokio::time::sleep(MIN_DIGEST_PAUSE).await;
+            let rest = DIGEST_INTERVAL.saturating_sub(MIN_DIGEST_PAUSE);
+            // On a timeout, a digest is due as well.
+            let _ = tokio::time::timeout(rest, gateway.digest_due.notified()).await;
             let now = gateway.now();
             if !self.is_hub(now) {
                 let digest = gateway.digest(Scope::Instance, self.incarnation);
@@ -430,7 +437,9 @@
 
     async fn send_routes<D>(&self, gateway: &Gateway<D>, scope: Scope, addrs: &[SocketAddr]) {
         for report in gateway.route_reports(scope, self.incarnation) {
-            self.send(&Message::Routes(report), addrs).await;
+            let (routes, details) = report.split();
+            self.send(&Message::Routes(routes), addrs).await;
+            self.send(&Message::RouteDetails(details), addrs).await;
         }
     }
 
@@ -531,7 +540,13 @@
                 self.send(&Message::PermitReply(reply), &[from]).await;
             }
             Message::PermitReply(reply) => self.permits.receive(reply),
-            Message::Routes(report) => gateway.apply_route_report(report, from),
+            Message::Routes(report) => gateway.apply_routes(report, from),
+            Message::RouteDetails(report) => {
+                if gateway.apply_route_details(report, from) && self.is_hub(now) {
+                    gateway.rollout_changed.notify_one();
+                    gateway.digest_due.notify_one();
+                }
+            }
             Message::PermitRelease(release) => self.permits.release(&release, now),
             Message::Digest(digest) => {
                 self.pass_on_sessions(gateway, &digest, now);
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -1,5 +1,6 @@
 //! Tracks rollouts in progress and carries them to completion or rollback.
 
+use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -8,8 +9,10 @@
 
 use config::Name;
 use dispatch::{
-    AnswerTimes, Decision, MonotonicTime, PaceClass, Phase, Rollout, RolloutOrder, RolloutState,
-    RolloutStats, RouteStats, Side,
+    AnswerTimes, Decision, Exposure, LoadTest, MonotonicTime, PaceByLoad, PaceClass,
+    PaceComparison, Phase, Regression, Rollout, RolloutAnswer, RolloutOrder, RolloutState,
+    RolloutStats, RouteDetails, RouteStats, RouteTime, Side, TestRequest, TestServer,
+    find_regression, pooled_evidence, test_server,
 };
 use members::Role;
 use serde_json::json;
@@ -39,6 +42,15 @@
 /// Maximum number of routes whose answers are counted apart.
 const MAX_ROUTES: usize = 64;
 
+/// Number of timed answers of the old version from which on the pace is compared at like load
+/// only.
+const MIN_REFERENCE_ANSWERS: u32 = 20;
+/// Number of answers of the new version on a route below which requests of the route are in the
+/// canary during a load test.
+const MIN_ROUTE_ANSWERS: u32 = 8;
+/// Evidence of a crash against a new version, which is counted for no route.
+const CRASH_EVIDENCE: f64 = 1.0;
+
 /// What an answer is counted by.
 #[derive(Debug, Clone)]
 pub(crate) struct AnswerOrigin {
@@ -46,6 +58,30 @@
     pub route: Name,
     pub version: Name,
     pub server: Name,
+    /// Running requests on the server as a fraction of its slots.
+    pub running: f64,
+    /// The same with waiting requests.
+    pub load: f64,
+}
+
+/// A request whose version is to be chosen.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RolloutRequest<'a> {
+    pub service: &'a Name,
+    pub route: &'a Name,
+    pub session: Option<u64>,
+    /// Time that a server takes to process its prompt, in ms.
+    pub prompt_ms: f64,
+}
+
+/// The version that a request goes to.
+#[derive(Debug, Clone)]
+pub(crate) struct RolloutChoice {
+    pub side: Side,
+    /// The new version.
+    pub to: Name,
+    /// A server of the new version that it goes to instead if it can, to load that server.
+    pub test_server: Option<Name>,
 }
 
 /// Other instances and domains that may have requests in flight.
@@ -123,6 +159,14 @@
     pub own_routes: HashMap<Name, RouteStats>,
     /// The same of other instances.
     pub peer_routes: HashMap<StatsSource, Vec<(Name, RouteStats)>>,
+    /// The details of the answers of other instances.
+    pub peer_details: HashMap<StatsSource, Vec<(Name, RouteDetails)>>,
+    /// Requests of the service that this instance sent.
+    pub exposure: Exposure,
+    /// Times of the answers of the old version by route.
+    pub route_times: HashMap<Name, RouteTime>,
+    /// The part of the load test in which the new version got all requests that it may get.
+    pub test_ended: Cell<Option<LoadTest>>,
     /// Whether it is known what the store holds of the order.
     pub status_known: bool,
     /// When this instance learned of the order.
@@ -161,9 +205,43 @@
                 sums.entry(route.clone()).or_default().add(stats);
             }
         }
+        for (_, routes) in self.peer_details.iter().filter(|(source, _)| include(source)) {
+            for (route, details) in routes {
+                sums.entry(route.clone()).or_default().details.add(details);
+            }
+        }
         sums
     }
 
+    /// Returns the answers of a route of this instance, unless there are too many routes.
+    fn route_mut(&mut self, route: &Name) -> Option<&mut RouteStats> {
+        let routes = &mut self.own_routes;
+        let has_room = routes.len() < MAX_ROUTES || routes.contains_key(route);
+        has_room.then(|| routes.entry(route.clone()).or_default())
+    }
+
+    /// Returns the number of answers of the new version on a route.
+    fn new_answers(&self, route: &Name) -> u32 {
+        let own = self.own_routes.get(route).map_or(0, |stats| stats.new.answers);
+        let peers = self.peer_routes.values().flatten().filter(|(name, _)| name == route);
+        own + peers.map(|(_, stats)| stats.new.answers).sum::<u32>()
+    }
+
+    /// Adds to the statistics what the answers by route show.
+    fn add_evidence(
+        &self,
+        stats: &mut RolloutStats,
+        routes: &HashMap<Name, RouteStats>,
+        servers: usize,
+    ) {
+        let bad: u32 = routes.values().map(|stats| stats.new.bad).sum();
+        let crashes = stats.new.bad.saturating_sub(bad);
+        let evidence = pooled_evidence(routes, servers) + CRASH_EVIDENCE * f64::from(crashes);
+        stats.failure_evidence = Some(evidence);
+        let is_pending = stats.old.timed >= MIN_REFERENCE_ANSWERS;
+        stats.like_pace = compare_pace(routes).or_else(|| is_pending.then(PaceComparison::default));
+    }
+
     fn sum_stats(
         &self,
         include: impl Fn(&StatsSource) -> bool,
@@ -200,7 +278,7 @@
     loop {
         tokio::select! {
             () = tokio::time::sleep(DECIDE_INTERVAL) => {}
-            () = gateway.rollout_started.notified() => {}
+            () = gateway.rollout_changed.notified() => {}
         }
         learn_states(&gateway, &peers, &store).await;
         let now = gateway.now();
@@ -321,8 +399,11 @@
             let order = &tracked.rollout.order;
             let mut stats = tracked.stats(now);
             stats.old_in_flight += self.old_in_flight(&order.service, &order.to);
-            let failing_route = self.failing_route(tracked);
-            let decision = match &failing_route {
+            let routes = tracked.sum_routes(|_| true);
+            let servers = self.servers_of_new_version(order);
+            tracked.add_evidence(&mut stats, &routes, servers);
+            let regression = find_route_regression(&routes, servers);
+            let decision = match &regression {
                 Some(_) if tracked.rollout.state == RolloutState::InProgress => Decision::RollBack,
                 _ => tracked.rollout.decide(&stats, now),
             };
@@ -345,8 +426,9 @@
                 "old": format!("{:?}", stats.old),
                 "new": format!("{:?}", stats.new),
                 "old_open": stats.old_in_flight,
-                "route": failing_route.as_ref().map(|(route, _)| &**route),
-                "route_answers": failing_route.as_ref().map(|(_, stats)| format!("{stats:?}")),
+                "pace": stats.like_pace.map(|pace| format!("{pace:?}")),
+                "regression": regression.map(|regression| format!("{regression:?}")),
+                "answers_by_load": answers_by_load(&routes),
             });
             log_event("rollout_decided", now, fields);
             due.push((order.clone(), state));
@@ -354,14 +436,11 @@
         due
     }
 
-    /// Returns a route on which the new version is clearly worse than the old one.
-    fn failing_route(&self, tracked: &TrackedRollout) -> Option<(Name, RouteStats)> {
-        let order = &tracked.rollout.order;
+    /// Returns the number of servers of the new version.
+    fn servers_of_new_version(&self, order: &RolloutOrder) -> usize {
         let fleet = self.fleet.borrow();
         let servers = fleet.servers_of(&order.service);
-        let servers = servers.filter(|server| server.info.version == order.to).count();
-        let routes = tracked.sum_routes(|_| true);
-        routes.into_iter().find(|(_, stats)| stats.is_regression(servers))
+        servers.filter(|server| server.info.version == order.to).count()
     }
 
     /// Whether this instance must write the final state now: its delay by position has
@@ -413,6 +492,10 @@
             peer_stats: HashMap::new(),
             own_routes: HashMap::new(),
             peer_routes: HashMap::new(),
+            peer_details: HashMap::new(),
+            exposure: Exposure::default(),
+            route_times: HashMap::new(),
+            test_ended: Cell::new(None),
             status_known: false,
             learned_at: self.now(),
             final_state_stored: false,
@@ -421,7 +504,7 @@
             decided_at: None,
         };
         rollouts.insert(service, tracked);
-        self.rollout_started.notify_one();
+        self.rollout_changed.notify_one();
     }
 
     /// Whether it is known of all orders what the store holds of them.
@@ -471,21 +554,99 @@
         }
     }
 
-    /// Returns whether a request goes to the old or the new version, and the new
-    /// version's name; `None` if the service has no rollout.
-    pub(crate) fn rollout_side(
+    /// Returns the version that a request goes to; `None` if the service has no rollout.
+    pub(crate) fn rollout_choice(&self, request: &RolloutRequest) -> Option<RolloutChoice> {
+        let now = self.now();
+        let rollouts = self.rollouts.borrow();
+        let tracked = rollouts.get(request.service)?;
+        let rollout = &tracked.rollout;
+        let side = match request.session {
+            Some(session) => {
+                let sessions = self.sessions.borrow();
+                rollout.side(policy::hash_unit(session), sessions.version(session, now), now)
+            }
+            // The load test may be over before the first request of a route arrives.
+            None if tracked.new_answers(request.route) < MIN_ROUTE_ANSWERS => {
+                rollout.side(self.random(), None, now)
+            }
+            None => rollout.side_without_session(self.random(), now),
+        };
+        let test_server = self.choose_test_server(tracked, request, side);
+        Some(RolloutChoice { side, to: rollout.order.to.clone(), test_server })
+    }
+
+    /// Returns the server of the new version that is loaded, if the request is to go to it.
+    fn choose_test_server(
         &self,
-        service: &Name,
-        session: Option<u64>,
-    ) -> Option<(Side, Name)> {
+        tracked: &TrackedRollout,
+        request: &RolloutRequest,
+        side: Side,
+    ) -> Option<Name> {
+        let now = self.now();
+        let part = tracked.rollout.load_test(now);
+        let may_move = match part {
+            LoadTest::Off => return None,
+            LoadTest::WithoutSession => request.session.is_none(),
+            LoadTest::All => true,
+            LoadTest::NewVersion => false,
+        };
+        if side == Side::Old && !may_move {
+            return None;
+        }
+        let fleet = self.fleet.borrow();
+        let server = test_server(&fleet, request.service, &tracked.rollout.order.to, now)?;
+        let test_server = TestServer {
+            slots: f64::from(server.info.slots),
+            load: server.load(now),
+            in_flight: f64::from(server.in_flight),
+            instances: self.members() as f64,
+        };
+        let service_time = RouteTime::sum(tracked.route_times.values());
+        if !test_server.has_room(&service_time) {
+            return None;
+        }
+        let route_time = tracked.route_times.get(request.route).copied().unwrap_or_default();
+        let test_request = TestRequest { route_time, service_time, prompt_ms: request.prompt_ms };
+        let age_s = tracked.rollout.age(now).as_secs_f64();
+        let share = match side {
+            Side::Old if !self.may_expose_more(tracked, part) => return None,
+            Side::Old => test_server.share(&test_request, age_s),
+            Side::New => test_server.suitable_share(&test_request, age_s),
+        };
+        (self.random() < share).then(|| server.info.id.clone())
+    }
+
+    /// Whether the new version may get further requests that the old one would get. If not, it
+    /// gets none until the next part of the test: few at a time would not load its server.
+    fn may_expose_more(&self, tracked: &TrackedRollout, part: LoadTest) -> bool {
+        if tracked.test_ended.get() == Some(part) {
+            return false;
+        }
+        let limit = &self.settings.exposure_limit;
+        let progress = tracked.rollout.progress(self.now());
+        let is_allowed = tracked.exposure.allows_test(limit, progress, self.members());
+        if !is_allowed {
+            tracked.test_ended.set(Some(part));
+        }
+        is_allowed
+    }
+
+    /// Returns the versions of whose servers one gets requests of any session, so that their
+    /// versions don't follow from the age of the order.
+    pub(crate) fn versions_in_load_test(&self) -> Vec<Name> {
         let now = self.now();
         let rollouts = self.rollouts.borrow();
-        let tracked = rollouts.get(service)?;
-        let sessions = self.sessions.borrow();
-        let last_version = session.and_then(|session| sessions.version(session, now));
-        let position = session.map_or_else(|| self.random(), policy::hash_unit);
-        let side = tracked.rollout.side(position, last_version, now);
-        Some((side, tracked.rollout.order.to.clone()))
+        let in_test = rollouts.values().map(|tracked| &tracked.rollout);
+        let in_test = in_test.filter(|rollout| rollout.load_test(now) == LoadTest::All);
+        in_test.map(|rollout| rollout.order.to.clone()).collect()
+    }
+
+    /// Records that a request is sent to a version.
+    pub(crate) fn record_exposure(&self, service: &Name, version: &Name) {
+        if let Some(tracked) = self.rollouts.borrow_mut().get_mut(service) {
+            let is_new = tracked.side_of(version) == Side::New;
+            tracked.exposure.record(is_new);
+        }
     }
 
     /// Records an answer for the rollout of its service.
@@ -493,10 +654,20 @@
         if let Some(tracked) = self.rollouts.borrow_mut().get_mut(&answer.service) {
             let side = tracked.side_of(&answer.version);
             tracked.own_stats.record_answer(side, bad);
-            let routes = &mut tracked.own_routes;
-            if routes.len() < MAX_ROUTES || routes.contains_key(&answer.route) {
-                let stats = routes.entry(answer.route.clone()).or_default();
-                stats.record(side, bad, policy::hash_parts(&[answer.server.as_bytes()]));
+        }
+    }
+
+    /// Records an answer for its route in the rollout of its service. A sound one counts when it
+    /// begins, as failed ones come at once: otherwise the first answers would all be bad.
+    pub(crate) fn record_route_answer(&self, answer: &AnswerOrigin, bad: bool) {
+        if let Some(tracked) = self.rollouts.borrow_mut().get_mut(&answer.service) {
+            let side = tracked.side_of(&answer.version);
+            let Some(stats) = tracked.route_mut(&answer.route) else { return };
+            let server_hash = policy::hash_parts(&[answer.server.as_bytes()]);
+            stats.record(&RolloutAnswer { side, bad, server_hash, load: answer.running });
+            if bad && side == Side::New {
+                self.rollout_changed.notify_one();
+                self.digest_due.notify_one();
             }
         }
     }
@@ -512,21 +683,26 @@
         }
     }
 
-    /// Records the pace of an answer for the rollout of its service, if there are like
-    /// answers of the old version to compare it with.
+    /// Records the pace of an answer for the rollout of its service, and returns it, if there are
+    /// like answers of the old version to compare it with.
     pub(crate) fn record_rollout_pace(
         &self,
-        service: &Name,
-        version: &Name,
+        answer: &AnswerOrigin,
         class: &PaceClass,
         times: &AnswerTimes,
-    ) {
+    ) -> Option<f64> {
         let mut rollouts = self.rollouts.borrow_mut();
-        let Some(tracked) = rollouts.get_mut(service) else { return };
-        if let Some(ratio) = self.paces.borrow().ratio(class, times, self.now()) {
-            let side = tracked.side_of(version);
-            tracked.own_stats.record_pace(side, ratio);
+        let tracked = rollouts.get_mut(&answer.service)?;
+        if tracked.rollout.state != RolloutState::InProgress {
+            return None;
+        }
+        let pace = self.paces.borrow().ratio(class, times, self.now())?;
+        let side = tracked.side_of(&answer.version);
+        tracked.own_stats.record_pace(side, pace);
+        if let Some(stats) = tracked.route_mut(&answer.route) {
+            stats.record_pace(side, answer.load, pace);
         }
+        Some(pace)
     }
 
     /// Records the pace of an answer that has ended, with which those of a new version are
@@ -538,13 +714,44 @@
         class: &PaceClass,
         times: &AnswerTimes,
     ) {
-        let rollouts = self.rollouts.borrow();
-        let rollout = rollouts.get(service).map(|tracked| &tracked.rollout);
-        let is_new = rollout.is_some_and(|rollout| {
-            rollout.state == RolloutState::InProgress && rollout.order.to == *version
-        });
-        if !is_new {
-            self.paces.borrow_mut().record(class, times, self.now());
+        let mut rollouts = self.rollouts.borrow_mut();
+        let in_progress = rollouts.get_mut(service);
+        let in_progress =
+            in_progress.filter(|tracked| tracked.rollout.state == RolloutState::InProgress);
+        if let Some(tracked) = in_progress {
+            if tracked.side_of(version) == Side::New {
+                return;
+            }
+            let route_times = &mut tracked.route_times;
+            let has_room = route_times.len() < MAX_ROUTES || route_times.contains_key(&class.route);
+            if let Some(whole) = times.whole.filter(|_| has_room) {
+                route_times.entry(class.route.clone()).or_default().record(whole);
+            }
         }
+        self.paces.borrow_mut().record(class, times, self.now());
     }
 }
+
+/// Returns answers that show that the new version is worse than the old one, on a route, under
+/// load or in all.
+fn find_route_regression(routes: &HashMap<Name, RouteStats>, servers: usize) -> Option<Regression> {
+    find_regression(routes, servers).or_else(|| {
+        let (route, stats) = routes.iter().find(|(_, stats)| stats.is_regression(servers))?;
+        let route = Some(route.clone());
+        Some(Regression { route, load: 0.0, old: stats.old, new: stats.new })
+    })
+}
+
+/// Compares the pace of both versions at like load, on all routes together.
+fn compare_pace(routes: &HashMap<Name, RouteStats>) -> Option<PaceComparison> {
+    let mut paces = PaceByLoad::default();
+    routes.values().for_each(|stats| paces.add(&stats.details.pace));
+    paces.compare()
+}
+
+/// Formats the answers of both versions at each level of load for the log.
+fn answers_by_load(routes: &HashMap<Name, RouteStats>) -> String {
+    let mut sum = RouteStats::default();
+    routes.values().for_each(|stats| sum.add(stats));
+    format!("old {:?}, new {:?}", sum.levels(Side::Old), sum.levels(Side::New))
+}
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use config::Name;
 use conn::{IncomingResponse, Lease, SendError};
-use dispatch::{AnswerTimes, MonotonicTime, Outcome, PaceClass, PromptPart};
+use dispatch::{AnswerTimes, LoadReport, MonotonicTime, Outcome, PaceClass, PromptPart, Route};
 use error::Kind;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
@@ -36,6 +36,10 @@
 /// A server that has sent nothing for this long is probed with a new connection.
 const PROBE_AFTER_SILENCE: Duration = Duration::from_millis(350);
 
+/// An answer that takes this multiple of the time of like ones is as bad as a failed one, unless
+/// it waited for a slot.
+const SLOW_PACE: f64 = 3.0;
+
 /// A request in flight at a server. Counted as abandoned if dropped before it is ended.
 pub(crate) struct InFlight<D> {
     gateway: Rc<Gateway<D>>,
@@ -52,8 +56,19 @@
     permit: Option<Permit>,
     /// The prompt tokens that are still attributed to the server's load.
     prefill_tokens: f64,
+    /// Number of slots of the server.
+    slots: f64,
+    /// Running requests on the server as a fraction of its slots.
+    running: f64,
+    /// The same with waiting requests.
+    load: f64,
     /// Whether the pace of the answer was recorded for a rollout.
     paced: bool,
+    /// How many times as long as like ones the answer takes, if that is known.
+    pace: Option<f64>,
+    /// Whether the answer has begun.
+    begun: bool,
+    is_stream: bool,
     ended: bool,
 }
 
@@ -62,7 +77,7 @@
     pub fn start(
         gateway: &Rc<Gateway<D>>,
         service: &Name,
-        route: &Name,
+        route: &Route,
         session: Option<u64>,
         target: &mut Target,
     ) -> Self {
@@ -75,22 +90,35 @@
         if let Some(session) = session {
             gateway.begin_session(session, &target.version);
         }
+        let now = gateway.now();
+        if helper.is_none() {
+            gateway.record_exposure(service, &target.version);
+        }
         let mut fleet = gateway.fleet.borrow_mut();
         fleet.request_sent(&target.server, target.prefill_tokens);
-        let rate_limit = fleet.get(&target.server).and_then(|server| server.rate_limit.rate);
+        let server = fleet.get(&target.server);
+        let rate_limit = server.and_then(|server| server.rate_limit.rate);
+        let load = server.map_or(0.0, |server| server.load_fraction(now));
+        let slots = server.map_or(1.0, |server| f64::from(server.info.slots.max(1)));
         InFlight {
             gateway: gateway.clone(),
             server: target.server.clone(),
             service: service.clone(),
-            route: route.clone(),
+            route: route.name.clone(),
             version: target.version.clone(),
             prefill_tokens: target.prefill_tokens,
-            sent_at: gateway.now(),
+            sent_at: now,
             rate_limit,
             helper,
             session,
             permit: target.permit.take(),
+            slots,
+            running: load,
+            load,
             paced: false,
+            pace: None,
+            begun: false,
+            is_stream: route.stream,
             ended: false,
         }
     }
@@ -102,7 +130,34 @@
             route: self.route.clone(),
             version: self.version.clone(),
             server: self.server.clone(),
+            running: self.running,
+            load: self.load,
+        }
+    }
+
+    /// Records the load that the server reports with its answer.
+    fn record_load(&mut self, report: &LoadReport, status: StatusCode) {
+        // A request that failed does not run any more.
+        let failed = u32::from(status.is_server_error());
+        self.running = f64::from(report.running + failed) / self.slots;
+        self.load = f64::from(report.running + report.waiting + failed) / self.slots;
+    }
+
+    /// Records for a rollout that a sound answer has begun, once.
+    pub fn record_begun(&mut self) {
+        if self.begun || self.helper.is_some() {
+            return;
         }
+        self.begun = true;
+        let is_slow =
+            !self.is_stream && self.load <= 1.0 && self.pace.is_some_and(|pace| pace >= SLOW_PACE);
+        self.gateway.record_route_answer(&self.origin(), is_slow);
+    }
+
+    /// How many times as long as like ones the answer takes, and the load of the server, if a
+    /// rollout is in progress.
+    pub fn pace_and_load(&self) -> Option<(f64, f64)> {
+        self.pace.map(|pace| (pace, self.load))
     }
 
     /// Removes the prompt tokens from the load of the server.
@@ -141,6 +196,10 @@
         // Answers to requests that were handed over count at the other instance.
         if self.helper.is_none() && matches!(outcome, Outcome::Success | Outcome::Failed) {
             self.gateway.record_rollout_answer(&self.origin(), failed);
+            match failed {
+                true => self.gateway.record_route_answer(&self.origin(), true),
+                false => self.record_begun(),
+            }
         }
     }
 
@@ -153,7 +212,7 @@
     /// Compares the pace of the answer with that of like ones, once.
     pub fn compare_pace(&mut self, class: &PaceClass, times: &AnswerTimes) {
         if !self.paced && self.helper.is_none() {
-            self.gateway.record_rollout_pace(&self.service, &self.version, class, times);
+            self.pace = self.gateway.record_rollout_pace(&self.origin(), class, times);
         }
         self.paced = true;
     }
@@ -243,7 +302,7 @@
         let mut in_flight = InFlight::start(
             &self.gateway,
             &self.service,
-            &self.route.name,
+            &self.route,
             self.request.session,
             target,
         );
@@ -277,6 +336,11 @@
         {
             self.record_in_budget(target);
         }
+        if let SendResult::Answered(pending) = &result
+            && let Some(report) = &pending.info.report
+        {
+            in_flight.record_load(report, pending.status);
+        }
         if let SendResult::NotRun("rejected") = result {
             in_flight.record_rejection();
         }
--- a/crates/gateway/src/session_sharing.rs
+++ b/crates/gateway/src/session_sharing.rs
@@ -71,17 +71,24 @@
         tracked.rollout.is_settling(hash_unit(session), sessions.version(session, now), now)
     }
 
-    /// Takes the sessions of the canary that were not told yet.
+    /// Takes the sessions of the canary and the load test that were not told yet.
     fn take_sessions(&self) -> Vec<(u64, Name)> {
-        let mut sessions = self.sessions.borrow_mut().take_pending(self.now());
-        sessions.retain(|(session, _)| in_canary(hash_unit(*session)));
-        sessions
+        let sessions = self.sessions.borrow_mut().take_pending(self.now());
+        self.retain_shared(sessions)
+    }
+
+    /// Returns the recent sessions of the canary and the load test, for an instance that starts.
+    pub(crate) fn shared_sessions(&self) -> Vec<(u64, Name)> {
+        let sessions = self.sessions.borrow().recent(self.now());
+        self.retain_shared(sessions)
     }
 
-    /// Returns the recent sessions of the canary, for an instance that starts.
-    pub(crate) fn canary_sessions(&self) -> Vec<(u64, Name)> {
-        let mut sessions = self.sessions.borrow().recent(self.now());
-        sessions.retain(|(session, _)| in_canary(hash_unit(*session)));
+    /// Keeps the sessions whose version does not follow from the age of the order.
+    fn retain_shared(&self, mut sessions: Vec<(u64, Name)>) -> Vec<(u64, Name)> {
+        let in_load_test = self.versions_in_load_test();
+        sessions.retain(|(session, version)| {
+            in_canary(hash_unit(*session)) || in_load_test.contains(version)
+        });
         sessions
     }
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use conn::IncomingResponse;
-use dispatch::{AnswerTimes, Cascade, EscalationContext, Outcome, StreamPace};
+use dispatch::{AnswerTimes, Cascade, EscalationContext, LoadReport, Outcome, StreamPace};
 use error::Refusal;
 use http::{HeaderValue, Response, header};
 use tokio::sync::mpsc;
@@ -35,8 +35,8 @@
     in_flight: InFlight<D>,
     first_byte: Duration,
     pace: StreamPace,
-    /// Number of requests on the server when the answer began.
-    load: Option<u32>,
+    /// Load of the server when the answer began.
+    load: Option<LoadReport>,
     /// The media type of the answer.
     content_type: Option<HeaderValue>,
 }
@@ -59,7 +59,9 @@
     /// The times of the answer so far; `whole` if it has ended.
     fn times(&self, whole: Option<Duration>) -> AnswerTimes {
         let (first_event, pause) = (Some(self.first_byte), self.pace.mean_pause());
-        AnswerTimes { first_event, pause, whole, load: self.load }
+        let load = self.load.map(|report| report.running);
+        let slowdown = self.load.map(|report| report.slowdown);
+        AnswerTimes { first_event, pause, whole, load, slowdown }
     }
 
     /// Returns the next complete event, or how the stream ended.
@@ -129,8 +131,7 @@
             }
         }
         let headers = response.head.headers.clone();
-        let load = info.report.map(|report| report.running);
-        let mut stream = self.read_events(response, in_flight, first_byte, load);
+        let mut stream = self.read_events(response, in_flight, first_byte, info.report);
         let first = match stream.next().await {
             Ok(event) => Some(event),
             Err(StreamEnd::Complete) => None,
@@ -152,6 +153,7 @@
             self.escalate(progress, stream.in_flight, model, target);
             return Ok(None);
         }
+        stream.in_flight.record_begun();
         let (sender, receiver) = mpsc::channel(MAX_BUFFERED_EVENTS);
         let mut response = Response::new(ResponseBody::Stream(receiver));
         *response.status_mut() = status;
@@ -196,7 +198,7 @@
         response: IncomingResponse,
         in_flight: InFlight<D>,
         first_byte: Duration,
-        load: Option<u32>,
+        load: Option<LoadReport>,
     ) -> EventStream<D> {
         let (gateway, addr) = (self.gateway.clone(), response.addr());
         let content_type = response.head.headers.get(header::CONTENT_TYPE).cloned();
@@ -254,18 +256,19 @@
         Ok(()) => "whole",
         Err(reason) => reason,
     };
-    exchange.record_attempt(&mut progress, &stream.in_flight, result);
-    if result == "whole" {
+    let is_whole = result == "whole";
+    if is_whole {
         let whole = gateway.now().saturating_sub(stream.in_flight.sent_at);
         let times = stream.times(Some(whole));
         stream.in_flight.record_pace(&exchange.pace_class(&progress), &times);
+    } else if stream.pace.mean_pause().is_some() {
+        let times = stream.times(None);
+        stream.in_flight.compare_pace(&exchange.pace_class(&progress), &times);
+    }
+    exchange.record_attempt(&mut progress, &stream.in_flight, result);
+    if is_whole {
         stream.in_flight.end(Outcome::Success);
         gateway.metrics.whole_answer.observe((gateway.now() - exchange.arrived).as_secs_f64());
-    } else {
-        if stream.pace.mean_pause().is_some() {
-            let times = stream.times(None);
-            stream.in_flight.compare_pace(&exchange.pace_class(&progress), &times);
-        }
     }
     let outcomes = gateway.metrics.requests_by_origin(exchange.handover.is_some());
     Metrics::count(outcomes, result);
@@ -349,8 +352,7 @@
                 exchange.count_runs(progress, &pending);
                 Metrics::count(&exchange.gateway.metrics.retries, "resumed");
                 let PendingResponse { response, info, first_byte, .. } = *pending;
-                let load = info.report.map(|report| report.running);
-                let next = exchange.read_events(response, in_flight, first_byte, load);
+                let next = exchange.read_events(response, in_flight, first_byte, info.report);
                 let broken = std::mem::replace(stream, next);
                 broken.in_flight.end_lost(None);
                 return Ok(());
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -30,6 +30,8 @@
 //!   `requests ID LEAST` that it received at least so many. See [`Site::check_limit`].
 //! - `brittle ID SLOTS MS N` lets a server run `SLOTS` requests at a time, `MS` each, and crash
 //!   for a moment if it has to reject more than `N` in a second, which all responses name.
+//! - `slots ID N MS` lets a server run `N` requests at a time, `MS` each; further ones wait.
+//!   `fails-under-load ID` makes it fail those that arrive while half of its slots are in use.
 //! - `fails-on ID PREFIX` makes a server fail all requests to paths with a prefix.
 //! - `poison PART` makes each server that was started crash for a moment of every request
 //!   whose prompt has the part; `crashes MOST` checks how often they have crashed.
@@ -274,6 +276,11 @@
                 };
                 self.find_server(id)?.set_brittle(Some(capacity));
             }
+            ["slots", id, count, work] => {
+                let work = Duration::from_millis(work.parse()?);
+                self.find_server(id)?.set_slots(count.parse()?, work);
+            }
+            ["fails-under-load", id] => self.find_server(id)?.fail_under_load(),
             ["fails-on", id, prefix] => self.find_server(id)?.set_failing_prefix(prefix),
             ["poison", part] => {
                 self.servers.values().for_each(|(server, _)| server.set_deadly_part(part));
