BUDGET: a stream that crashes its server after the first event is blocked

Cause: the first event cleared the request and its prompt (Exchange::record_begun), and a stream that broke later counted against none: end_lost(None), and only once it was resumed.

Ruled out: the budget of retries (it held); the probe after a loss (it was never asked).

Change: a request is cleared when its answer is complete. Whenever a stream breaks, before it is resumed and whether it can be, the server is probed, and the request is a suspect if it crashed. As more sound requests become suspects so: a suspect goes to a server without another one, and crashes that an answer cleared stay cleared when another instance reports them again (before, its report brought them back).

--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -145,6 +145,9 @@
     default_fault: Mutex<Option<SiteFault>>,
     /// The id of a prompt part that makes the server crash.
     deadly_part: Mutex<Option<String>>,
+    /// The prefix of the paths whose requests make the server crash, and the number of events
+    /// after which it does.
+    deadly_prefix: Mutex<Option<(String, u64)>>,
     /// The prefix of the paths whose requests fail.
     failing_prefix: Mutex<Option<String>>,
     /// The value of `server-limit` in all responses.
@@ -158,8 +161,7 @@
     running: AtomicUsize,
     /// When requests were rejected in the last second.
     rejections: Mutex<Vec<Instant>>,
-    crash: Notify,
-    crashes: AtomicU64,
+    crash: Arc<Crash>,
     request_log: SiteRequestLog,
 }
 
@@ -175,6 +177,7 @@
             queued_faults: Mutex::default(),
             default_fault: Mutex::default(),
             deadly_part: Mutex::default(),
+            deadly_prefix: Mutex::default(),
             failing_prefix: Mutex::default(),
             rate_limit: Mutex::default(),
             leaving: AtomicBool::new(false),
@@ -182,8 +185,7 @@
             slots: Mutex::default(),
             running: AtomicUsize::new(0),
             rejections: Mutex::default(),
-            crash: Notify::new(),
-            crashes: AtomicU64::new(0),
+            crash: Arc::default(),
             request_log,
         });
         let connections = Connections::default();
@@ -219,6 +221,12 @@
         *self.state.deadly_part.lock().unwrap() = Some(part.to_owned());
     }
 
+    /// Makes the server crash for a moment of each request whose path has this prefix: after so
+    /// many events of a stream, or at once if there are none.
+    pub fn set_deadly_prefix(&self, prefix: &str, events: u64) {
+        *self.state.deadly_prefix.lock().unwrap() = Some((prefix.to_owned(), events));
+    }
+
     /// Makes all requests whose path has this prefix fail.
     pub fn set_failing_prefix(&self, prefix: &str) {
         *self.state.failing_prefix.lock().unwrap() = Some(prefix.to_owned());
@@ -255,7 +263,7 @@
 
     /// How often the server has crashed.
     pub fn crashes(&self) -> u64 {
-        self.state.crashes.load(Ordering::Relaxed)
+        self.state.crash.count.load(Ordering::Relaxed)
     }
 
     /// Changes the id, as if another server had taken over the address.
@@ -286,7 +294,7 @@
 ) {
     loop {
         tokio::select! {
-            () = state.crash.notified() => {}
+            () = state.crash.due.notified() => {}
             () = stop.cancelled() => return,
         }
         connections.crash();
@@ -363,9 +371,7 @@
         };
         if rejections > capacity.max_rejections {
             self.rejections.lock().unwrap().clear();
-            self.crashes.fetch_add(1, Ordering::Relaxed);
-            self.crash.notify_one();
-            return std::future::pending().await;
+            return self.crash.now().await;
         }
         let id = request.headers().get("x-attempt-id")?.to_str().ok()?.to_owned();
         let server = self.id.lock().unwrap().clone();
@@ -401,6 +407,7 @@
         let rejects = matches!(fault, Some(SiteFault::Reject | SiteFault::RejectFor(_)));
         let executed = !misdirected && !rejects;
         let request_line = format!("{} {}", request.method(), request.uri());
+        let path = request.uri().path().to_owned();
         let headers = request.headers().clone();
         let body = read_body(request).await?;
         let recorded = SiteRequest {
@@ -414,15 +421,29 @@
         };
         let prompt = recorded.headers.get("x-prompt-prefix").and_then(|value| value.to_str().ok());
         let is_deadly = self.is_deadly(prompt.unwrap_or_default());
+        let deadly_prefix = self.deadly_prefix.lock().unwrap().clone();
+        let deadly_path = deadly_prefix.filter(|(prefix, _)| path.starts_with(prefix));
         self.request_log.lock().unwrap().push(recorded);
         if misdirected {
             return Some(reply(421, &server, &id, false, full_body("")));
         }
         if is_deadly {
             tokio::time::sleep(CRASH_DELAY).await;
-            self.crashes.fetch_add(1, Ordering::Relaxed);
-            self.crash.notify_one();
-            return std::future::pending().await;
+            return self.crash.now().await;
+        }
+        match deadly_path {
+            Some((_, 0)) => return self.crash.now().await,
+            Some((_, events)) => {
+                let last_event = last_event + events;
+                let crash = self.crash.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(CRASH_DELAY + EVENT_PAUSE * events as u32).await;
+                    crash.now::<()>().await
+                });
+                let fault = Some(SiteFault::StallAfter(last_event));
+                return Some(event_stream(&server, &id, last_event - events, fault));
+            }
+            None => {}
         }
         match fault {
             Some(SiteFault::Reject) => rejection(&server, &id),
@@ -515,6 +536,22 @@
     }
 }
 
+/// Makes a server crash.
+#[derive(Debug, Default)]
+struct Crash {
+    due: Notify,
+    count: AtomicU64,
+}
+
+impl Crash {
+    /// Crashes the server; never returns, as its requests end with it.
+    async fn now<T>(&self) -> T {
+        self.count.fetch_add(1, Ordering::Relaxed);
+        self.due.notify_one();
+        std::future::pending().await
+    }
+}
+
 /// Counts a request while it runs.
 struct Running<'a>(&'a AtomicUsize);
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -17,7 +17,7 @@
 
 use crate::arrival::{Exchange, admit};
 use crate::body::{ResponseBody, refusal_response};
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, Suspect};
 use crate::handover::{
     AnswerNote, Handover, HandoverReason, add_refusal_headers, is_final, remove_headers,
 };
@@ -460,7 +460,18 @@
         };
         let fleet = gateway.fleet.borrow();
         let random = gateway.random();
-        if let Some(server) = &test_server {
+        if self.is_suspect() {
+            // Alone on its server it crashes no other suspect, and none crashes it.
+            let suspects = gateway.suspects_in_flight.borrow();
+            let avoided: Vec<Name> =
+                progress.tried.iter().chain(suspects.keys()).cloned().collect();
+            let apart = PlacementRequest { tried: &avoided, ..wanted };
+            if let Ok(placement) = place(&fleet, &apart, random, now)
+                && !placement.unreachable
+            {
+                return Ok(placement);
+            }
+        } else if let Some(server) = &test_server {
             let on_server = PlacementRequest {
                 version: None,
                 server: Some(server),
@@ -516,8 +527,22 @@
         }
     }
 
-    /// Records that the answer has begun.
-    pub fn record_begun(&self) {
+    /// Whether a server may have crashed of the request before.
+    pub fn is_suspect(&self) -> bool {
+        self.gateway.poison.borrow().is_suspect(self.fingerprint)
+    }
+
+    /// The request, if a server that lost the answer for this reason may have crashed of it.
+    pub fn suspect_after(&self, reason: &str) -> Option<Suspect> {
+        let may_be_crash = matches!(reason, "broken" | "cut" | "closed" | "torn_event");
+        may_be_crash.then(|| Suspect {
+            fingerprint: self.fingerprint,
+            prompt: self.request.prompt_parts.clone(),
+        })
+    }
+
+    /// Records that the answer is complete: its server has survived the request.
+    pub fn record_survived(&self) {
         self.gateway.poison.borrow_mut().record_answer(self.fingerprint);
         self.gateway.clear_prompt(&self.request.prompt_parts);
     }
@@ -579,7 +604,7 @@
     pub fn record_lost(
         &self,
         progress: &mut Progress,
-        in_flight: InFlight<D>,
+        mut in_flight: InFlight<D>,
         reason: &'static str,
     ) {
         progress.possible_runs += 1;
@@ -587,11 +612,7 @@
         match reason {
             // A server that closes an idle connection has not failed.
             "stale" => in_flight.end(Outcome::Abandoned),
-            "broken" => {
-                let parts = self.request.prompt_parts.clone();
-                in_flight.end_lost(Some((self.fingerprint, parts)));
-            }
-            _ => in_flight.end_lost(None),
+            _ => in_flight.record_loss(self.suspect_after(reason)),
         }
     }
 
@@ -626,7 +647,7 @@
                 return Err(self.refusal(Kind::BackendFailed, None));
             }
         };
-        self.record_begun();
+        self.record_survived();
         let failed = status.is_server_error();
         let server = in_flight.server.clone();
         if !failed {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -130,6 +130,7 @@
                 settings.retry_window,
             )),
             poison: RefCell::new(Poison::new(CRASHES_TO_BLOCK)),
+            suspects_in_flight: RefCell::default(),
             blame: RefCell::default(),
             blame_changed: Notify::new(),
             hub_position: Cell::new(None),
@@ -167,8 +168,15 @@
 #[derive(Debug)]
 pub(crate) struct LostAnswer {
     pub origin: AnswerOrigin,
-    /// The fingerprint and the prompt of the request, if the server may have crashed of it.
-    pub suspect: Option<(u64, Vec<PromptPart>)>,
+    /// The request, if the server may have crashed of it.
+    pub suspect: Option<Suspect>,
+}
+
+/// A request that a server may have crashed of.
+#[derive(Debug)]
+pub(crate) struct Suspect {
+    pub fingerprint: u64,
+    pub prompt: Vec<PromptPart>,
 }
 
 /// The timing of a graceful shutdown.
@@ -197,6 +205,8 @@
     pub(crate) sessions_changed: Notify,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) poison: RefCell<Poison>,
+    /// Number of requests in flight, by server, of which a server may have crashed.
+    pub(crate) suspects_in_flight: RefCell<HashMap<Name, u32>>,
     /// Parts of prompts that crash servers.
     pub(crate) blame: RefCell<Blame>,
     /// Notified when other instances need to know what is in `blame`.
@@ -268,8 +278,8 @@
             gateway.mark_unreachable(&origin.server);
             if gateway.reaches_others(&origin.server).await {
                 gateway.record_rollout_crash(&origin);
-                if let Some((fingerprint, parts)) = suspect {
-                    gateway.record_crash(fingerprint, &parts, origin.server);
+                if let Some(Suspect { fingerprint, prompt }) = suspect {
+                    gateway.record_crash(fingerprint, &prompt, origin.server);
                 }
             }
         });
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use config::Name;
 use conn::{IncomingResponse, Lease, SendError};
-use dispatch::{AnswerTimes, LoadReport, MonotonicTime, Outcome, PaceClass, PromptPart, Route};
+use dispatch::{AnswerTimes, LoadReport, MonotonicTime, Outcome, PaceClass, Route};
 use error::Kind;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
@@ -16,7 +16,7 @@
 
 use crate::arrival::Exchange;
 use crate::exchange::Rejection;
-use crate::gateway::{Gateway, LostAnswer};
+use crate::gateway::{Gateway, LostAnswer, Suspect};
 use crate::handover::{AnswerNote, is_refusal, read_refusal};
 use crate::metrics::Metrics;
 use crate::permits::Permit;
@@ -53,6 +53,8 @@
     /// The address of the instance that the request was handed to, instead of a server.
     pub helper: Option<SocketAddr>,
     session: Option<u64>,
+    /// Whether a server may have crashed of the request before.
+    is_suspect: bool,
     permit: Option<Permit>,
     /// The prompt tokens that are still attributed to the server's load.
     prefill_tokens: f64,
@@ -79,6 +81,7 @@
         service: &Name,
         route: &Route,
         session: Option<u64>,
+        is_suspect: bool,
         target: &mut Target,
     ) -> Self {
         let helper = target.is_helper.then_some(target.addr);
@@ -91,9 +94,14 @@
             gateway.begin_session(session, &target.version);
         }
         let now = gateway.now();
+        let is_suspect = is_suspect && helper.is_none();
         if helper.is_none() {
             gateway.record_exposure(service, &target.version);
         }
+        if is_suspect {
+            let mut suspects = gateway.suspects_in_flight.borrow_mut();
+            *suspects.entry(target.server.clone()).or_default() += 1;
+        }
         let mut fleet = gateway.fleet.borrow_mut();
         fleet.request_sent(&target.server, target.prefill_tokens);
         let server = fleet.get(&target.server);
@@ -111,6 +119,7 @@
             rate_limit,
             helper,
             session,
+            is_suspect,
             permit: target.permit.take(),
             slots,
             running: load,
@@ -228,6 +237,13 @@
     /// Counts the outcome and removes the request from the load of the server.
     fn record_outcome(&mut self, outcome: Outcome) {
         self.ended = true;
+        if self.is_suspect {
+            let mut suspects = self.gateway.suspects_in_flight.borrow_mut();
+            if let Some(count) = suspects.get_mut(&self.server) {
+                *count -= 1;
+            }
+            suspects.retain(|_, count| *count > 0);
+        }
         if let Some(session) = self.session {
             self.gateway.end_session(session);
         }
@@ -250,12 +266,14 @@
 }
 
 impl<D: 'static> InFlight<D> {
-    /// Ends a request whose answer was lost. Whether it counts in a rollout depends on whether
-    /// the server can still be reached; see [`Gateway::check_after_loss`].
-    pub fn end_lost(mut self, suspect: Option<(u64, Vec<PromptPart>)>) {
-        self.record_outcome(Outcome::Failed);
-        if self.helper.is_none() {
-            self.gateway.check_after_loss(LostAnswer { origin: self.origin(), suspect });
+    /// Ends a request whose answer was lost, unless it has ended. Whether it counts in a rollout
+    /// depends on whether the server can still be reached; see [`Gateway::check_after_loss`].
+    pub fn record_loss(&mut self, suspect: Option<Suspect>) {
+        if !self.ended {
+            self.record_outcome(Outcome::Failed);
+            if self.helper.is_none() {
+                self.gateway.check_after_loss(LostAnswer { origin: self.origin(), suspect });
+            }
         }
     }
 }
@@ -304,6 +322,7 @@
             &self.service,
             &self.route,
             self.request.session,
+            self.is_suspect(),
             target,
         );
         let lease = match self.lease(target).await {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -146,7 +146,6 @@
                 return Err(Refusal::new(error::Kind::BackendFailed, &self.proof));
             }
         };
-        self.record_begun();
         if let Some(model) = larger_model
             && let Some(target) = self.choose_larger(progress, model).await
         {
@@ -267,6 +266,7 @@
     }
     exchange.record_attempt(&mut progress, &stream.in_flight, result);
     if is_whole {
+        exchange.record_survived();
         stream.in_flight.end(Outcome::Success);
         gateway.metrics.whole_answer.observe((gateway.now() - exchange.arrived).as_secs_f64());
     }
@@ -325,6 +325,7 @@
     stream: &mut EventStream<D>,
     reason: &'static str,
 ) -> Result<(), &'static str> {
+    stream.in_flight.record_loss(exchange.suspect_after(reason));
     if progress.resume_after.is_none() {
         return Err("cut");
     }
@@ -352,9 +353,7 @@
                 exchange.count_runs(progress, &pending);
                 Metrics::count(&exchange.gateway.metrics.retries, "resumed");
                 let PendingResponse { response, info, first_byte, .. } = *pending;
-                let next = exchange.read_events(response, in_flight, first_byte, info.report);
-                let broken = std::mem::replace(stream, next);
-                broken.in_flight.end_lost(None);
+                *stream = exchange.read_events(response, in_flight, first_byte, info.report);
                 return Ok(());
             }
             SendResult::Answered(_) => exchange.record_lost(progress, in_flight, "failed"),
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -15,7 +15,8 @@
 ///
 /// After a crash, every request that was running on the server is a suspect. A suspect
 /// runs again only on a server with no other suspect, so that a second crash blocks the
-/// request that caused it and no other.
+/// request that caused it and no other. An answer clears a request of the crashes known so far,
+/// also when another instance that has not seen the answer reports them again.
 #[derive(Debug)]
 pub struct Poison {
     crashes: HashMap<u64, CrashRecord>,
@@ -31,9 +32,18 @@
 #[derive(Debug, Clone, Copy)]
 struct CrashRecord {
     count: u32,
+    /// The number of crashes of which an answer cleared the request.
+    cleared: u32,
     last_crash: Duration,
 }
 
+impl CrashRecord {
+    /// The number of crashes since the last answer.
+    fn uncleared(&self) -> u32 {
+        self.count.saturating_sub(self.cleared)
+    }
+}
+
 impl Poison {
     /// Creates a tracker that blocks a request after `crash_limit` crashes.
     pub fn new(crash_limit: u32) -> Self {
@@ -41,30 +51,32 @@
     }
 
     /// Records that a server crashed while running the fingerprint, and returns the
-    /// number of crashes.
+    /// number of crashes since it was last answered.
     pub fn record_crash(&mut self, fingerprint: u64, now: Duration) -> u32 {
         let record = self.record_mut(fingerprint, now);
         record.count += 1;
         record.last_crash = now;
-        record.count
+        record.uncleared()
     }
 
     /// Clears the crashes of a fingerprint that was answered, unless it is blocked
     /// already.
     pub fn record_answer(&mut self, fingerprint: u64) {
         if !self.is_blocked(fingerprint) {
-            self.crashes.remove(&fingerprint);
+            if let Some(record) = self.crashes.get_mut(&fingerprint) {
+                record.cleared = record.count;
+            }
         }
     }
 
     /// Returns whether any server crashed while running the fingerprint.
     pub fn is_suspect(&self, fingerprint: u64) -> bool {
-        self.crashes.get(&fingerprint).is_some_and(|record| record.count > 0)
+        self.crashes.get(&fingerprint).is_some_and(|record| record.uncleared() > 0)
     }
 
     /// Returns whether the fingerprint is blocked from running again.
     pub fn is_blocked(&self, fingerprint: u64) -> bool {
-        self.crashes.get(&fingerprint).is_some_and(|record| record.count >= self.crash_limit)
+        self.crashes.get(&fingerprint).is_some_and(|record| record.uncleared() >= self.crash_limit)
     }
 
     /// Merges a peer's crash count.
@@ -73,9 +85,10 @@
         record.count = record.count.max(crashes);
     }
 
-    /// Iterates over all fingerprints with their crash counts.
+    /// Iterates over all suspect fingerprints with their crash counts.
     pub fn crash_counts(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
-        self.crashes.iter().map(|(fingerprint, record)| (*fingerprint, record.count))
+        let suspects = self.crashes.iter().filter(|(_, record)| record.uncleared() > 0);
+        suspects.map(|(fingerprint, record)| (*fingerprint, record.count))
     }
 
     /// Removes fingerprints without a crash within the retention period.
@@ -85,7 +98,11 @@
 
     fn record_mut(&mut self, fingerprint: u64, now: Duration) -> &mut CrashRecord {
         self.evict_if_full(now);
-        self.crashes.entry(fingerprint).or_insert(CrashRecord { count: 0, last_crash: now })
+        self.crashes.entry(fingerprint).or_insert(CrashRecord {
+            count: 0,
+            cleared: 0,
+            last_crash: now,
+        })
     }
 
     /// Makes room for another fingerprint by removing expired ones, or else the one with
--- a/tests/runner/site.rs
+++ b/tests/runner/site.rs
@@ -33,6 +33,8 @@
 //! - `slots ID N MS` lets a server run `N` requests at a time, `MS` each; further ones wait.
 //!   `fails-under-load ID` makes it fail those that arrive while half of its slots are in use.
 //! - `fails-on ID PREFIX` makes a server fail all requests to paths with a prefix.
+//! - `crashes-on PREFIX EVENTS` makes each server that was started crash for a moment of every
+//!   request to paths with a prefix, after so many events of a stream or at once.
 //! - `poison PART` makes each server that was started crash for a moment of every request
 //!   whose prompt has the part; `crashes MOST` checks how often they have crashed.
 //!
@@ -282,6 +284,11 @@
             }
             ["fails-under-load", id] => self.find_server(id)?.fail_under_load(),
             ["fails-on", id, prefix] => self.find_server(id)?.set_failing_prefix(prefix),
+            ["crashes-on", prefix, events] => {
+                let events = events.parse()?;
+                let servers = self.servers.values();
+                servers.for_each(|(server, _)| server.set_deadly_prefix(prefix, events));
+            }
             ["poison", part] => {
                 self.servers.values().for_each(|(server, _)| server.set_deadly_part(part));
             }
