BUDGET: a request that crashes its server on a connection in use is blocked

Cause: a pooled connection that breaks within 15 ms of a send counts as one that the server closed as idle (STALE_CLOSE_WINDOW); the server was not looked at.

Ruled out: a longer or shorter window: a crash and an idle close look alike on the connection.

Change: the server is probed after such a break as after any other. If it can be reached, the break counts for nothing, neither for its health nor in a rollout; if not, it crashed, and the request is a suspect.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -534,7 +534,7 @@
 
     /// The request, if a server that lost the answer for this reason may have crashed of it.
     pub fn suspect_after(&self, reason: &str) -> Option<Suspect> {
-        let may_be_crash = matches!(reason, "broken" | "cut" | "closed" | "torn_event");
+        let may_be_crash = matches!(reason, "broken" | "stale" | "cut" | "closed" | "torn_event");
         may_be_crash.then(|| Suspect {
             fingerprint: self.fingerprint,
             prompt: self.request.prompt_parts.clone(),
@@ -609,10 +609,9 @@
     ) {
         progress.possible_runs += 1;
         self.record_attempt(progress, &in_flight, reason);
-        match reason {
-            // A server that closes an idle connection has not failed.
-            "stale" => in_flight.end(Outcome::Abandoned),
-            _ => in_flight.record_loss(self.suspect_after(reason)),
+        match self.suspect_after(reason) {
+            Some(suspect) if reason == "stale" => in_flight.end_stale(suspect),
+            suspect => in_flight.record_loss(suspect),
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -170,6 +170,9 @@
     pub origin: AnswerOrigin,
     /// The request, if the server may have crashed of it.
     pub suspect: Option<Suspect>,
+    /// Whether the connection may have been closed because it was idle, which is no failure of a
+    /// server that can be reached.
+    pub was_idle: bool,
 }
 
 /// A request that a server may have crashed of.
@@ -261,7 +264,7 @@
     /// If it can be reached, its version failed. If it can't, although the link to its failure
     /// domain works, it crashed, perhaps of the request.
     pub(crate) fn check_after_loss(self: &Rc<Self>, loss: LostAnswer) {
-        let LostAnswer { origin, suspect } = loss;
+        let LostAnswer { origin, suspect, was_idle } = loss;
         let addr = self.fleet.borrow().get(&origin.server).map(|server| server.info.addr);
         let Some(addr) = addr else { return };
         if suspect.is_none() && !self.rollouts.borrow().contains_key(&origin.service) {
@@ -271,8 +274,10 @@
         tokio::task::spawn_local(async move {
             tokio::time::sleep(CRASH_PROBE_DELAY).await;
             if gateway.pool.open(addr).await.is_ok() {
-                gateway.record_rollout_answer(&origin, true);
-                gateway.record_route_answer(&origin, true);
+                if !was_idle {
+                    gateway.record_rollout_answer(&origin, true);
+                    gateway.record_route_answer(&origin, true);
+                }
                 return;
             }
             gateway.mark_unreachable(&origin.server);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -29,7 +29,7 @@
 /// A pooled connection that was idle for less than this is assumed to be alive.
 const TRUSTED_IDLE_TIME: Duration = Duration::from_millis(700);
 /// If a pooled connection breaks this soon after a send, the server is assumed to have closed
-/// it as idle.
+/// it as idle, if it can be reached.
 const STALE_CLOSE_WINDOW: Duration = Duration::from_millis(15);
 /// A sound server may send nothing and take no new connections for this long, and go on.
 const MIN_SILENCE: Duration = Duration::from_millis(1_300);
@@ -271,9 +271,20 @@
     pub fn record_loss(&mut self, suspect: Option<Suspect>) {
         if !self.ended {
             self.record_outcome(Outcome::Failed);
-            if self.helper.is_none() {
-                self.gateway.check_after_loss(LostAnswer { origin: self.origin(), suspect });
-            }
+            self.check_server(suspect, false);
+        }
+    }
+
+    /// Ends a request whose connection may have been closed because it was idle.
+    pub fn end_stale(mut self, suspect: Suspect) {
+        self.record_outcome(Outcome::Abandoned);
+        self.check_server(Some(suspect), true);
+    }
+
+    fn check_server(&self, suspect: Option<Suspect>, was_idle: bool) {
+        if self.helper.is_none() {
+            let loss = LostAnswer { origin: self.origin(), suspect, was_idle };
+            self.gateway.check_after_loss(loss);
         }
     }
 }
