Memory: bodies and events of many connections share one budget

Cause: each connection may hold 4 MiB of a body and 1 MiB of an event, whatever the others hold; nothing reads memory_mb.

Ruled out: the read buffers of connections (64 KiB each). Lower limits for each: answers of 3 MiB are sound.

When it is used up, holders of up to 32 KiB go on, of the others one at a time, and the rest wait without reading. The time that a stream waits so is no silence of its server. Metric buffered_bytes.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -5,6 +5,7 @@
 //! bytes arrive that never become a response is closed once there are too many.
 
 mod guard;
+mod memory;
 
 use std::collections::HashMap;
 use std::fmt;
@@ -14,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use guard::{GuardedStream, ReadAllowance};
+pub use memory::{Held, MemoryBudget};
 
 use bytes::Bytes;
 use http::{StatusCode, header};
@@ -60,6 +62,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    memory: MemoryBudget,
 }
 
 /// An idle connection and how long it may stay in the pool.
@@ -76,6 +79,16 @@
         Pool::default()
     }
 
+    /// Creates an empty pool whose responses take the memory that they need from a budget.
+    pub fn with_memory(memory: MemoryBudget) -> Self {
+        Pool { memory, ..Pool::default() }
+    }
+
+    /// The budget of memory that responses take theirs from.
+    pub fn memory(&self) -> &MemoryBudget {
+        &self.memory
+    }
+
     /// Takes an idle connection from the pool, or opens a new one.
     pub async fn lease(&self, addr: SocketAddr) -> io::Result<Lease> {
         match self.take_idle(addr) {
@@ -200,7 +213,8 @@
             Ok(response) => {
                 let (head, body) = response.into_parts();
                 let addr = self.addr();
-                Ok(IncomingResponse { head, body, has_begun: false, addr, lease: Some(self) })
+                let held = self.pool.memory.hold();
+                Ok(IncomingResponse { head, body, has_begun: false, addr, held, lease: Some(self) })
             }
             Err(mut error) => match error.take_message() {
                 Some(request) => Err(SendError::Unsent(Box::new(request))),
@@ -219,6 +233,7 @@
     /// Whether a part of the body was received.
     has_begun: bool,
     addr: SocketAddr,
+    held: Held,
     lease: Option<Lease>,
 }
 
@@ -288,16 +303,18 @@
         }
     }
 
-    /// Reads the whole body; `None` if it is longer than `limit` bytes.
+    /// Reads the whole body; `None` if it is longer than `limit` bytes. Waits for memory.
     pub async fn collect(mut self, limit: usize) -> Result<Option<Bytes>, BodyError> {
         let mut body = Vec::new();
         while let Some(chunk) = self.chunk().await? {
             if body.len() + chunk.len() > limit {
                 return Ok(None);
             }
+            self.held.grow(chunk.len()).await;
+            body.reserve_exact(chunk.len());
             body.extend_from_slice(&chunk);
         }
-        Ok(Some(body.into()))
+        Ok(Some(self.held.keep_with(body.into())))
     }
 
     /// Returns the connection to the pool after the body has been read.
--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use config::Name;
+use conn::Held;
 use dispatch::{Account, Catalog, MonotonicTime, Route};
 use error::{Kind, NotRunProof, Refusal};
 use http::request::Parts;
@@ -87,7 +88,8 @@
     if gateway.refuses_while_draining(deadline) {
         return Err(refuse(Kind::Draining));
     }
-    let reading = read_body(body, catalog.limits.body_bytes);
+    let held = gateway.pool.memory().hold();
+    let reading = read_body(body, catalog.limits.body_bytes, held);
     let body = tokio::time::timeout(timeout, reading).await.unwrap_or(Err(Kind::BodyCut));
     let body = body.map_err(refuse)?;
     if gateway.refuses_while_draining(deadline) {
@@ -141,10 +143,23 @@
     target + head.headers.iter().map(line).sum::<usize>()
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Kind> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Kind::BodyTooLarge),
-        Err(_) => Err(Kind::BodyCut),
+/// Reads the body of a caller; waits for memory.
+async fn read_body(body: Incoming, limit: usize, mut held: Held) -> Result<Bytes, Kind> {
+    let mut limited = Limited::new(body, limit);
+    let mut bytes = Vec::new();
+    while let Some(frame) = limited.frame().await {
+        match frame {
+            Ok(frame) => {
+                let Ok(data) = frame.into_data() else { continue };
+                held.grow(data.len()).await;
+                bytes.reserve_exact(data.len());
+                bytes.extend_from_slice(&data);
+            }
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                return Err(Kind::BodyTooLarge);
+            }
+            Err(_) => return Err(Kind::BodyCut),
+        }
     }
+    Ok(held.keep_with(bytes.into()))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use config::Name;
-use conn::Pool;
+use conn::{MemoryBudget, Pool};
 use dispatch::{
     Blame, Catalog, ExposureLimit, Fleet, Helpers, MonotonicTime, PaceReference, Pressure,
     PromptPart, RetryBudget, Server, ServerInfo, Sessions,
@@ -68,6 +68,7 @@
 #[derive(Debug)]
 pub struct GatewayBuilder {
     settings: GatewaySettings,
+    memory: MemoryBudget,
     seed: u64,
 }
 
@@ -83,7 +84,7 @@
             session_ttl: Duration::from_secs(5),
             exposure_limit: ExposureLimit { share: 0.1, slack: 0.0 },
         };
-        GatewayBuilder { settings, seed: 1 }
+        GatewayBuilder { settings, memory: MemoryBudget::default(), seed: 1 }
     }
 
     /// Sets the retry budget.
@@ -106,6 +107,12 @@
         self
     }
 
+    /// Sets the number of bytes in which bodies and events are held for others.
+    pub fn buffer_bytes(mut self, bytes: usize) -> Self {
+        self.memory = MemoryBudget::new(bytes);
+        self
+    }
+
     /// Sets the seed of the random number generator.
     pub fn seed(mut self, seed: u64) -> Self {
         self.seed = seed;
@@ -158,7 +165,7 @@
             members: Cell::new(1),
             event_log: EventLog::new(metrics.dropped_lines.clone()),
             metrics,
-            pool: Pool::new(),
+            pool: Pool::with_memory(self.memory),
             settings,
         })
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,6 +61,8 @@
     pub table_updates: Family<Reason, Counter>,
     /// Time since a table was last confirmed to hold what the store holds.
     pub table_age: Family<TableLabel, Gauge<f64, AtomicU64>>,
+    /// Bytes of bodies and events that are held for others.
+    pub buffered_bytes: Gauge,
     /// Parts of prompts that are kept from the servers because they crash them.
     pub blocked_parts: Gauge,
     /// Services of which no server can be reached.
@@ -112,6 +114,7 @@
             store_calls: Family::default(),
             table_updates: Family::default(),
             table_age: Family::default(),
+            buffered_bytes: Gauge::default(),
             blocked_parts: Gauge::default(),
             lost_services: Gauge::default(),
             narrow_services: Gauge::default(),
@@ -169,6 +172,8 @@
             Unit::Seconds,
             self.table_age.clone(),
         );
+        let buffered = self.buffered_bytes.clone();
+        registry.register("buffered_bytes", "Bytes held for callers and servers", buffered);
         let blocked = self.blocked_parts.clone();
         registry.register("blocked_parts", "Parts of prompts that crash servers", blocked);
         let lost = self.lost_services.clone();
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -70,5 +70,6 @@
         let gauge = gateway.metrics.table_age.get_or_create(&TableLabel { table });
         gauge.set(age.as_secs_f64());
     }
+    gateway.metrics.buffered_bytes.set(gateway.pool.memory().used() as i64);
     gateway.metrics.encode()
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use conn::IncomingResponse;
+use conn::{Held, IncomingResponse};
 use dispatch::{AnswerTimes, Cascade, EscalationContext, LoadReport, Outcome, StreamPace};
 use error::Refusal;
 use http::{HeaderValue, Response, header};
@@ -32,6 +32,8 @@
     addr: SocketAddr,
     response: Option<IncomingResponse>,
     reader: EventReader,
+    /// The memory of the bytes in `reader`.
+    held: Held,
     in_flight: InFlight<D>,
     first_byte: Duration,
     pace: StreamPace,
@@ -66,10 +68,11 @@
 
     /// Returns the next complete event, or how the stream ended.
     async fn next(&mut self) -> Result<Event, StreamEnd> {
-        let until = Instant::now() + MAX_EVENT_GAP;
+        let mut until = Instant::now() + MAX_EVENT_GAP;
         loop {
-            if let Some(event) = self.reader.next_event() {
-                return Ok(event);
+            if let Some(Event { bytes, id }) = self.reader.next_event() {
+                let bytes = self.held.split(bytes.len()).keep_with(bytes);
+                return Ok(Event { bytes, id });
             }
             let Some(response) = &mut self.response else {
                 return Err(StreamEnd::Broken("closed"));
@@ -84,6 +87,10 @@
             };
             match chunk {
                 Ok(Ok(Some(bytes))) => {
+                    let waiting_since = Instant::now();
+                    self.held.grow(bytes.len()).await;
+                    // The server can't send while this instance has no room.
+                    until += waiting_since.elapsed();
                     if !self.reader.push(&bytes) {
                         return Err(StreamEnd::Broken("long_event"));
                     }
@@ -206,6 +213,7 @@
             addr,
             response: Some(response),
             reader: EventReader::default(),
+            held: self.gateway.pool.memory().hold(),
             in_flight,
             first_byte,
             pace: StreamPace::default(),
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -62,10 +62,10 @@
     /// Clears the crashes of a fingerprint that was answered, unless it is blocked
     /// already.
     pub fn record_answer(&mut self, fingerprint: u64) {
-        if !self.is_blocked(fingerprint) {
-            if let Some(record) = self.crashes.get_mut(&fingerprint) {
-                record.cleared = record.count;
-            }
+        if !self.is_blocked(fingerprint)
+            && let Some(record) = self.crashes.get_mut(&fingerprint)
+        {
+            record.cleared = record.count;
         }
     }
 
