PINNED: a version that was rolled back gets no requests in the next rollout

Cause: start_rollout replaces what is known of the service, the rollback included; find_server excludes the newest version only.

Ruled out: sessions that still ran on the version (new ones came as well).

Change: an instance remembers the versions of a service that were rolled back, until one of them is ordered again, and excludes them beside the new one. An instance that starts later does not know of them.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -441,7 +441,7 @@
         let test_server = choice.as_ref().and_then(|choice| choice.test_server.clone());
         let (version, excluded) = match choice {
             Some(choice) if choice.side == Side::New => (Some(choice.to), Vec::new()),
-            Some(choice) => (None, vec![choice.to]),
+            Some(choice) => (None, [choice.rolled_back, vec![choice.to]].concat()),
             None => (None, gateway.fleet.borrow().unknown_versions(&self.service, now)),
         };
         let mut wanted = PlacementRequest {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -80,6 +80,8 @@
     pub side: Side,
     /// The new version.
     pub to: Name,
+    /// Versions that earlier orders introduced and that were rolled back.
+    pub rolled_back: Vec<Name>,
     /// A server of the new version that it goes to instead if it can, to load that server.
     pub test_server: Option<Name>,
 }
@@ -161,6 +163,8 @@
     pub peer_routes: HashMap<StatsSource, Vec<(Name, RouteStats)>>,
     /// The details of the answers of other instances.
     pub peer_details: HashMap<StatsSource, Vec<(Name, RouteDetails)>>,
+    /// Versions that earlier orders introduced and that were rolled back.
+    pub rolled_back: Vec<Name>,
     /// Requests of the service that this instance sent.
     pub exposure: Exposure,
     /// Times of the answers of the old version by route.
@@ -456,6 +460,7 @@
     /// Starts the rollout of an order, unless a newer one is known.
     pub fn start_rollout(&self, order: RolloutOrder) {
         let mut rollouts = self.rollouts.borrow_mut();
+        let mut rolled_back = Vec::new();
         if let Some(tracked) = rollouts.get_mut(&order.service) {
             let known = &mut tracked.rollout.order;
             if known.revision >= order.revision {
@@ -475,6 +480,11 @@
                     return;
                 }
             }
+            rolled_back.append(&mut tracked.rolled_back);
+            if tracked.rollout.state == RolloutState::RolledBack {
+                rolled_back.push(tracked.rollout.order.to.clone());
+            }
+            rolled_back.retain(|version| *version != order.to);
         }
         let fields = json!({
             "service": &*order.service,
@@ -493,6 +503,7 @@
             own_routes: HashMap::new(),
             peer_routes: HashMap::new(),
             peer_details: HashMap::new(),
+            rolled_back,
             exposure: Exposure::default(),
             route_times: HashMap::new(),
             test_ended: Cell::new(None),
@@ -572,7 +583,8 @@
             None => rollout.side_without_session(self.random(), now),
         };
         let test_server = self.choose_test_server(tracked, request, side);
-        Some(RolloutChoice { side, to: rollout.order.to.clone(), test_server })
+        let rolled_back = tracked.rolled_back.clone();
+        Some(RolloutChoice { side, to: rollout.order.to.clone(), rolled_back, test_server })
     }
 
     /// Returns the server of the new version that is loaded, if the request is to go to it.
