Review: a stream is cut after 2.5 s of silence of its server

A caller whose model server preempts its stream for 3.5 s gets the start of the answer and a closed connection, although the server would go on, the deadline is 25 s and callers wait 8 s for an event.

Order of events: the stream begins; the server runs out of memory and preempts the request; 2.5 s later the instance closes the server's connection. A stream that can't be resumed is cut at once. One that can is sent to the next server, is the newest request there, is preempted again, and is cut after three servers.

Code at fault: crates/gateway/src/stream.rs, MAX_EVENT_GAP in EventStream::next, which also holds where no further attempt is possible.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -11,7 +11,9 @@
 mod record;
 mod server;
 mod lost_completion;
+mod preempted;
 mod store_proxy;
+mod stream;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -50,6 +52,7 @@
     record.line(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let result = match case.as_str() {
         "lost-completion" => lost_completion::play(&record, trouble).await,
+        "preempted" => preempted::play(&record, trouble).await,
         _ => bail!("there is no case {case:?}"),
     };
     match &result {
