Review: a stream is cut when its server takes no further connections

A caller gets the start of a stream and a closed connection 0.35 s after the last event, although the stream is on time and its server goes on.

Order of events: the stream runs; other callers take the remaining connections of the server, which resets further ones; the stream pauses for 0.6 s, which is within its objective; the instance probes the server with a new connection, which is refused, and takes the server for dead.

Code at fault: crates/gateway/src/stream.rs, EventStream::next, which waits for wait_until_unreachable (send.rs) even if the request can't be sent again.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 
 mod client;
 mod deployment;
+mod full_server;
 mod record;
 mod server;
 mod lost_completion;
@@ -51,6 +52,7 @@
         Arc::new(Record::create(&Path::new(folder).join("record.txt")).context("record.txt")?);
     record.line(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let result = match case.as_str() {
+        "full-server" => full_server::play(&record, trouble).await,
         "lost-completion" => lost_completion::play(&record, trouble).await,
         "preempted" => preempted::play(&record, trouble).await,
         _ => bail!("there is no case {case:?}"),
