Review: probes of streams fill up the servers, which cuts the streams

Callers get the start of a stream and a closed connection although nothing is disturbed: nine instances serve twelve streams each from two servers, with pauses of 0.6 s, which are on time.

Order of events: in each pause of more than 0.35 s the instance opens a connection to the server and keeps it in its pool; after 4 s both servers have 370 connections, most of them idle, and reset further ones; the next probe of each stream is reset, and the stream is cut.

Code at fault: crates/gateway/src/stream.rs, EventStream::next, and crates/conn/src/lib.rs, Pool::probe, which leaves idle connections open beyond MAX_IDLE.

--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -64,13 +64,18 @@
         self.store.put("op", "config", config.to_string().as_bytes());
     }
 
-    /// Writes the entry of a server of a version with six slots.
-    pub fn list_version(&self, id: &str, service: &str, address: SocketAddr, version: &str) {
-        self.put_entry(
-            id,
-            json!({ "service": service, "address": address, "zone": "serra-a",
-            "version": version, "slots": 6, "state": "ready" }),
-        );
+    /// Writes the entry of a server.
+    pub fn list_version(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        version: &str,
+        slots: u32,
+    ) {
+        let entry = json!({ "service": service, "address": address, "zone": "serra-a",
+            "version": version, "slots": slots, "state": "ready" });
+        self.put_entry(id, entry);
     }
 
     fn put_entry(&self, id: &str, mut entry: Value) {
@@ -95,6 +100,13 @@
     }
 }
 
+/// A route whose answers are no streams.
+pub fn plain_route(name: &str, prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
+    json!({ "name": name, "host": HOST, "prefix": prefix, "route_kind": kind, "timeout_ms": 2000,
+        "target_latency_ms": 300, "priority": 2, "service": service, "max_attempts": attempts,
+        "public": false })
+}
+
 /// A running instance; its process is killed when this is dropped.
 pub struct Node {
     child: Child,
--- a/review/standins-2/src/full_server.rs
+++ b/review/standins-2/src/full_server.rs
@@ -1,6 +1,8 @@
 //! Servers that have reached their maximum number of connections reset further ones, while streams
-//! with pauses run on them, right after a SIGHUP of the instance.
+//! with pauses run on them, right after a SIGHUP of the instances. In one case other callers take
+//! the connections, in the other one the instances themselves.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +12,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 use crate::deployment::Deployment;
 use crate::record::Record;
@@ -25,22 +28,30 @@
 /// When other callers have taken the remaining connections, after the streams have begun.
 const FULL_AFTER: Duration = Duration::from_millis(100);
 const SERVERS: usize = 2;
+/// The slots of a server, as on the sheet of the site.
+const SLOTS: u32 = 64;
+/// A server closes a connection that has been idle for this long, and says so.
+const IDLE: Duration = Duration::from_secs(5);
+/// The instances of the site, and the streams that each of them serves at a time.
+const INSTANCES: usize = 9;
+const STREAMS: usize = 12;
+/// The events of the streams of the instances that fill up the servers themselves.
+const MORE_EVENTS: u64 = 20;
+/// A pause in which the instances open no connections.
+const SHORT_PAUSE: Duration = Duration::from_millis(200);
 
+/// What a server sends in answer to a request.
+#[derive(Debug, Clone, Copy)]
+struct StreamShape {
+    events: u64,
+    pause: Duration,
+}
+
+/// Other callers take the remaining connections of the servers.
 pub async fn play(record: &Arc<Record>, trouble: bool) -> Result<bool> {
     let deployment = Deployment::start().await?;
-    deployment.configure_with(
-        7,
-        json!([route("r-lohu930", "/lohu930/", true), route("r-pufi791", "/pufi791/", false),]),
-        MAX_CONNECTIONS,
-    );
-    let mut servers = Vec::new();
-    for number in 0..SERVERS {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let (id, addr) = (format!("i-7f3a91c{number}"), listener.local_addr()?);
-        deployment.list_version(&id, "assistente-ia", addr, "v1");
-        tokio::spawn(serve(id, addr, listener, record.clone()));
-        servers.push(addr);
-    }
+    let shape = StreamShape { events: EVENTS, pause: EVENT_PAUSE };
+    let servers = start_servers(&deployment, shape, record).await?;
     let mut node = deployment.node("edge-serra-a-1")?;
     node.wait_ready().await?;
     record.line("the instance is ready");
@@ -60,6 +71,75 @@
     Ok(resumable == End::Closed || other == End::Closed)
 }
 
+/// All instances of the site serve streams with pauses that are on time.
+pub async fn play_alone(record: &Arc<Record>, trouble: bool) -> Result<bool> {
+    let deployment = Deployment::start().await?;
+    let pause = if trouble { EVENT_PAUSE } else { SHORT_PAUSE };
+    let shape = StreamShape { events: MORE_EVENTS, pause };
+    start_servers(&deployment, shape, record).await?;
+    let mut nodes = Vec::new();
+    for number in 0..INSTANCES {
+        let zone = ["serra-a", "serra-b"][number % 2];
+        let store = deployment.store.addr();
+        nodes.push(deployment.node_in(&format!("edge-{zone}-{number}"), zone, store)?);
+    }
+    for node in &mut nodes {
+        node.wait_ready().await?;
+    }
+    record.line(format!("{INSTANCES} instances are ready"));
+    tokio::time::sleep(CONTACT + Duration::from_millis(500)).await;
+    for node in &nodes {
+        node.signal("HUP")?;
+    }
+    record.line("SIGHUP to the instances");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let mut streams = JoinSet::new();
+    for (number, node) in nodes.iter().enumerate() {
+        for stream in 0..STREAMS {
+            let (front, record) = (node.frontend, record.clone());
+            let (path, kind) = match stream % 2 {
+                0 => ("/lohu930/2f", "resumable"),
+                _ => ("/pufi791/2f", "other"),
+            };
+            let id = format!("{kind}-{number}-{stream}");
+            streams.spawn(async move {
+                (kind, read_stream(front, path, &id, MORE_EVENTS, &record).await)
+            });
+        }
+    }
+    let mut ends: BTreeMap<(&str, End), usize> = BTreeMap::new();
+    while let Some(stream) = streams.join_next().await {
+        let (kind, end) = stream?;
+        *ends.entry((kind, end?)).or_default() += 1;
+    }
+    for ((kind, end), count) in &ends {
+        record.line(format!("{kind} streams: {count} ended {end:?}"));
+    }
+    Ok(ends.keys().any(|(_, end)| *end == End::Closed))
+}
+
+/// Writes the configuration, and starts and lists the servers.
+async fn start_servers(
+    deployment: &Deployment,
+    shape: StreamShape,
+    record: &Arc<Record>,
+) -> Result<Vec<SocketAddr>> {
+    deployment.configure_with(
+        7,
+        json!([route("r-lohu930", "/lohu930/", true), route("r-pufi791", "/pufi791/", false)]),
+        MAX_CONNECTIONS,
+    );
+    let mut servers = Vec::new();
+    for number in 0..SERVERS {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (id, addr) = (format!("i-7f3a91c{number}"), listener.local_addr()?);
+        deployment.list_version(&id, "assistente-ia", addr, "v1", SLOTS);
+        tokio::spawn(serve(id, addr, listener, shape, record.clone()));
+        servers.push(addr);
+    }
+    Ok(servers)
+}
+
 /// Takes the remaining connections of the servers for streams of other callers.
 async fn fill(servers: &[SocketAddr], record: &Record) -> Vec<TcpStream> {
     let mut held = Vec::new();
@@ -82,7 +162,13 @@
 
 /// Accepts as many connections as the server may have; further ones are reset, as nothing listens
 /// at the address meanwhile.
-async fn serve(id: String, addr: SocketAddr, listener: TcpListener, record: Arc<Record>) {
+async fn serve(
+    id: String,
+    addr: SocketAddr,
+    listener: TcpListener,
+    shape: StreamShape,
+    record: Arc<Record>,
+) {
     let (open, mut changed) = watch::channel(0_usize);
     let open = Arc::new(open);
     let mut listening = Some(listener);
@@ -111,8 +197,11 @@
         open.send_modify(|open| *open += 1);
         let (id, record, open) = (id.clone(), record.clone(), open.clone());
         tokio::spawn(async move {
-            while let Ok(Some(request)) = read_request(&mut stream).await {
-                if answer(&id, &mut stream, &request, &record).await.is_err() {
+            // An idle connection is closed after the time-out.
+            while let Ok(Ok(Some(request))) =
+                tokio::time::timeout(IDLE, read_request(&mut stream)).await
+            {
+                if answer(&id, &mut stream, &request, shape, &record).await.is_err() {
                     let request = request.id();
                     record.note(format!("server {id}: the connection of {request} was closed"));
                     break;
@@ -128,21 +217,22 @@
     id: &str,
     stream: &mut TcpStream,
     request: &Received,
+    shape: StreamShape,
     record: &Record,
 ) -> Result<()> {
     let last = request.header("last-event-id").parse::<u64>().unwrap_or(0);
     let run = format!("server {id}: runs {} after event {last} ({})", request.id(), request.line);
-    match request.id().starts_with("other") {
+    match shape.events == MORE_EVENTS || request.id().starts_with("other-") {
         true => _ = record.note(run),
         false => record.line(run),
     }
     let headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
-         X-Server-Load: 1,0,64\r\n";
+         Keep-Alive: timeout=5\r\nX-Server-Load: 1,0,64\r\n";
     write_head(stream, id, "200 OK", request.id(), headers).await?;
-    for number in last + 1..=EVENTS {
+    for number in last + 1..=shape.events {
         let event = format!("id: {number}\ndata: text of event {number}\n\n");
         write_chunk(stream, event.as_bytes()).await?;
-        tokio::time::sleep(EVENT_PAUSE).await;
+        tokio::time::sleep(shape.pause).await;
     }
     stream.write_all(b"0\r\n\r\n").await?;
     record.note(format!("server {id}: has ended {}", request.id()));
--- a/review/standins-2/src/lost_completion.rs
+++ b/review/standins-2/src/lost_completion.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::client::ask;
-use crate::deployment::{Deployment, HOST, KEY};
+use crate::deployment::{Deployment, HOST, KEY, plain_route};
 use crate::record::Record;
 use crate::server::{read_request, write_head};
 use crate::store_proxy;
@@ -27,7 +27,7 @@
 /// The share of the requests that the bad version fails: every second one.
 const BAD_EVERY: u64 = 2;
 /// The time that a server needs for a request.
-const WORK: Duration = Duration::from_millis(20);
+const WORK: Duration = Duration::from_millis(60);
 /// The pause between two requests of a client.
 const CLIENT_PAUSE: Duration = Duration::from_millis(80);
 /// `contact_ms`: what is judged begins this long after the disruption.
@@ -56,8 +56,8 @@
 
 pub async fn play(record: &Arc<Record>, trouble: bool) -> Result<bool> {
     let deployment = Arc::new(Deployment::start().await?);
-    let first = route("r-cufi504", "/cufi504/", "idempotent", "assistente-ia", 2);
-    let added = route("r-puxa403", "/puxa403/", "non_idempotent", "agenda-app", 1);
+    let first = plain_route("r-cufi504", "/cufi504/", "idempotent", "assistente-ia", 2);
+    let added = plain_route("r-puxa403", "/puxa403/", "non_idempotent", "agenda-app", 1);
     deployment.configure(7, json!([first]));
 
     let is_bad = Arc::new(AtomicBool::new(false));
@@ -97,7 +97,7 @@
 
     let ended: Arc<Mutex<Vec<Ended>>> = Arc::default();
     let stop = CancellationToken::new();
-    for (route, clients) in [(Route::First, 2), (Route::Added, 4)] {
+    for (route, clients) in [(Route::First, 2), (Route::Added, 6)] {
         for client in 0..clients {
             let front = nodes[client % nodes.len()].frontend;
             tokio::spawn(run_client(
@@ -177,12 +177,6 @@
     Ok(share(added) < share(first) / 4.0)
 }
 
-fn route(name: &str, prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
-    json!({ "name": name, "host": HOST, "prefix": prefix, "route_kind": kind, "timeout_ms": 2000,
-        "target_latency_ms": 300, "priority": 2, "service": service, "max_attempts": attempts,
-        "public": false })
-}
-
 /// What a write of the final state contains: the value is in base64, of which every four
 /// characters hold three bytes.
 fn completed_value() -> String {
@@ -289,7 +283,7 @@
             let (deployment, id) = (deployment.clone(), id.to_owned());
             async move {
                 loop {
-                    deployment.list_version(&id, service, addr, version);
+                    deployment.list_version(&id, service, addr, version, 6);
                     tokio::time::sleep(HEARTBEAT).await;
                 }
             }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -52,6 +52,7 @@
         Arc::new(Record::create(&Path::new(folder).join("record.txt")).context("record.txt")?);
     record.line(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
     let result = match case.as_str() {
+        "alone" => full_server::play_alone(&record, trouble).await,
         "full-server" => full_server::play(&record, trouble).await,
         "lost-completion" => lost_completion::play(&record, trouble).await,
         "preempted" => preempted::play(&record, trouble).await,
--- a/review/standins-2/src/preempted.rs
+++ b/review/standins-2/src/preempted.rs
@@ -32,7 +32,7 @@
     for number in 0..SERVERS {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let id = format!("i-7f3a91c{number}");
-        deployment.list_version(&id, "assistente-ia", listener.local_addr()?, "v1");
+        deployment.list_version(&id, "assistente-ia", listener.local_addr()?, "v1", 64);
         tokio::spawn(serve(id, listener, record.clone(), trouble));
     }
     let mut node = deployment.node("edge-serra-a-1")?;
--- a/review/standins-2/src/stream.rs
+++ b/review/standins-2/src/stream.rs
@@ -32,7 +32,7 @@
 }
 
 /// How a stream ended for the client.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum End {
     Complete,
     /// The connection was closed before the end of the answer.
