Review: large bodies that arrive at once are ended with 400

Callers who send bodies within max_body_bytes get 400, "The body ended before it was whole", at their deadline, and don't come back.

Order of events: 60 callers send 4 MiB each at once; when incomplete bodies use up the budget of memory, one holder at a time goes on; it keeps its turn until its server has answered, so that one request is served a second; the reads of the others time out, which is taken for a body that was cut.

Code at fault: crates/conn/src/memory.rs, Held::grow and keep_with; crates/gateway/src/arrival.rs, admit.

--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use anyhow::{Context, Result, ensure};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use crate::server::{parse_head, read_head};
@@ -20,7 +20,12 @@
 pub async fn ask(addr: SocketAddr, request: &str) -> Result<Answer> {
     let mut stream = TcpStream::connect(addr).await?;
     stream.write_all(request.as_bytes()).await?;
-    let (head, body) = read_head(&mut stream).await?.context("no answer")?;
+    read_answer(&mut stream).await
+}
+
+/// Reads a whole answer whose body has a length.
+pub async fn read_answer(stream: &mut (impl AsyncRead + Unpin)) -> Result<Answer> {
+    let (head, body) = read_head(stream).await?.context("no answer")?;
     let (line, headers) = parse_head(&head);
     let length = headers.get("content-length").map_or(Ok(0), |text| text.parse::<usize>())?;
     let mut missing = length.saturating_sub(body.len());
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -9,6 +9,7 @@
 mod client;
 mod deployment;
 mod full_server;
+mod large_bodies;
 mod record;
 mod server;
 mod lost_completion;
@@ -54,6 +55,7 @@
     let result = match case.as_str() {
         "alone" => full_server::play_alone(&record, trouble).await,
         "full-server" => full_server::play(&record, trouble).await,
+        "large-bodies" => large_bodies::play(&record, trouble).await,
         "lost-completion" => lost_completion::play(&record, trouble).await,
         "preempted" => preempted::play(&record, trouble).await,
         _ => bail!("there is no case {case:?}"),
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use anyhow::{Context, Result, bail};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// A request as a server received it.
@@ -46,7 +46,7 @@
 }
 
 /// Reads up to the end of a head; returns it and what was read beyond it.
-pub async fn read_head(stream: &mut TcpStream) -> Result<Option<(String, Vec<u8>)>> {
+pub async fn read_head(stream: &mut (impl AsyncRead + Unpin)) -> Result<Option<(String, Vec<u8>)>> {
     let mut bytes = Vec::new();
     loop {
         let mut part = vec![0; 4 << 10];
