Review: the scripts read TROUBLE themselves

Each run.sh of the second review passes on whether the disruption is left out; before, only the shared stand-ins read the variable. What the cases do and check is unchanged.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins of the cases of the second review: clients, servers and the store around
 //! instances of the program that run as separate processes.
 //!
-//! `standins-2 CASE FOLDER` plays a case and writes `record.txt` into its folder. It exits with 1
+//! `standins-2 CASE FOLDER on|off` plays a case with or without its disruption and writes `record.txt` into its folder. It exits with 1
 //! if the rule was broken, with 0 if it held and with 2 if the case could not run.
 
 #![recursion_limit = "256"]
@@ -47,8 +47,14 @@
 /// Plays the case that the arguments name; returns whether the rule was broken.
 async fn run() -> Result<bool> {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = &arguments[..] else { bail!("usage: standins-2 CASE FOLDER") };
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let [_, case, folder, disruption] = &arguments[..] else {
+        bail!("usage: standins-2 CASE FOLDER on|off");
+    };
+    let trouble = match disruption.as_str() {
+        "on" => true,
+        "off" => false,
+        _ => bail!("the disruption is on or off, not {disruption:?}"),
+    };
     let record =
         Arc::new(Record::create(&Path::new(folder).join("record.txt")).context("record.txt")?);
     record.line(format!("case {case}, disruption {}", if trouble { "on" } else { "off" }));
