--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,8 +1,9 @@
 //! Stand-ins of the cases of the second review: clients, servers and the store around
 //! instances of the program that run as separate processes.
 //!
-//! `standins-2 CASE FOLDER on|off` plays a case with or without its disruption and writes `record.txt` into its folder. It exits with 1
-//! if the rule was broken, with 0 if it held and with 2 if the case could not run.
+//! `standins-2 CASE FOLDER on|off` plays a case with or without its disruption and writes
+//! `record.txt` into its folder. It exits with 1 if the rule was broken, with 0 if it held and with
+//! 2 if the case could not run.
 
 #![recursion_limit = "256"]
 
