Rollouts: the stored final state replaces one that was only decided

Cause: a rollback is applied before it is stored, and set_rollout_state changed a rollout in progress only. What the store held was learned (by the conflict of the next write, or by a digest) and ignored. Fix: a stored final state replaces one that was only decided; a stored one stays. So all instances end with the one state that the store holds, in whatever order they learn of it. States of other versions are no longer applied, and the result of a write only if its order is still the current one. rollout_settled says whether the state is stored.

--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -285,11 +285,11 @@
             if !gateway.is_writer(&order, position) {
                 continue;
             }
-            if let FinalStateResult::Stored(state) = store.store_final_state(&order, state).await {
+            // A newer order may have replaced this one meanwhile.
+            if let FinalStateResult::Stored(state) = store.store_final_state(&order, state).await
+                && gateway.rollout_revision(&order.service) == Some(order.revision)
+            {
                 gateway.set_rollout_state(&order.service, &order.to, state, true);
-                gateway.update_rollout(&order.service, order.revision, |tracked| {
-                    tracked.final_state_stored = true
-                });
             }
         }
     }
@@ -513,23 +513,34 @@
 
     /// Applies the state of an order as reported by the store or a peer, or as decided
     /// here; `stored` if the store holds it.
+    ///
+    /// The stored final state replaces one that was only decided: another instance, or an earlier
+    /// write whose answer was lost, may have stored a different one.
     pub fn set_rollout_state(&self, service: &str, to: &str, state: RolloutState, stored: bool) {
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(tracked) = rollouts.get_mut(service) else { return };
+        let rollout = &mut tracked.rollout;
+        if *rollout.order.to != *to {
+            return;
+        }
         if state == RolloutState::InProgress {
             tracked.start_stored |= stored;
             return;
         }
-        tracked.final_state_stored |= stored && tracked.rollout.state == state;
-        let rollout = &mut tracked.rollout;
-        let in_progress = rollout.state == RolloutState::InProgress;
-        if *rollout.order.to == *to && in_progress {
+        let is_confirmed = stored && !tracked.final_state_stored;
+        if rollout.state == RolloutState::InProgress || is_confirmed && rollout.state != state {
+            let fields = json!({
+                "service": service,
+                "to": to,
+                "state": format!("{state:?}"),
+                "before": format!("{:?}", rollout.state),
+                "stored": stored,
+            });
+            log_event("rollout_settled", self.now(), fields);
             rollout.state = state;
-            tracked.final_state_stored = stored;
             self.sessions.borrow_mut().set_sharing(false, self.now());
-            let fields = json!({ "service": service, "to": to, "state": format!("{state:?}") });
-            log_event("rollout_settled", self.now(), fields);
         }
+        tracked.final_state_stored |= is_confirmed;
     }
 
     /// Applies the age of an order, as reported by a peer or the store, if it is greater
