Connections: probes leave none open, and idle ones are closed in time

Cause: each pause of more than 0.35 s is probed with a new connection, which went to the pool, and the pool closed idle connections only when one was asked for. Nine instances could hold 576 of them to a server that accepts 370; the next probes were refused, which cut the streams. Fix: a probe closes its connection; a task of the pool closes connections that have been idle for too long. So an instance holds no more connections than it uses, or used within the idle time. The second part is the same fault on the path of requests: after a burst the connections stayed open until the server's own timeout.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -11,7 +11,7 @@
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::{Duration, Instant};
 
 use guard::{GuardedStream, ReadAllowance};
@@ -57,14 +57,23 @@
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
 /// The maximum number of idle connections kept per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
+/// The interval at which connections that have been idle for too long are closed.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// A pool of idle connections, keyed by address. Clones share the connections.
 #[derive(Debug, Clone, Default)]
 pub struct Pool {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    idle: Arc<Mutex<IdleConnections>>,
     memory: MemoryBudget,
 }
 
+#[derive(Debug, Default)]
+struct IdleConnections {
+    by_addr: HashMap<SocketAddr, Vec<IdleConnection>>,
+    /// Whether a task closes those that have been idle for too long.
+    has_expiry_task: bool,
+}
+
 /// An idle connection and how long it may stay in the pool.
 #[derive(Debug)]
 struct IdleConnection {
@@ -73,6 +82,12 @@
     max_idle: Duration,
 }
 
+impl IdleConnection {
+    fn is_usable(&self) -> bool {
+        self.idle_since.elapsed() < self.max_idle && !self.link.sender.is_closed()
+    }
+}
+
 impl Pool {
     /// Creates an empty pool.
     pub fn new() -> Self {
@@ -104,30 +119,30 @@
         Ok(Lease { link, pool: self.clone(), reused: false, idle: Duration::ZERO })
     }
 
-    /// Checks that the address is reachable by opening a connection, and adds
-    /// the connection to the pool.
+    /// Checks that the address is reachable by opening a connection.
+    ///
+    /// The connection is closed at once: a server accepts a limited number, and many probes may
+    /// be sent to it.
     pub async fn probe(&self, addr: SocketAddr) -> io::Result<()> {
-        let lease = self.open(addr).await?;
-        self.release(lease.link, DEFAULT_MAX_IDLE);
-        Ok(())
+        self.open(addr).await.map(drop)
     }
 
     /// Closes all idle connections to an address.
     pub fn evict(&self, addr: SocketAddr) {
-        self.idle.lock().unwrap().remove(&addr);
+        self.idle.lock().unwrap().by_addr.remove(&addr);
     }
 
     /// Takes the most recently used idle connection that is still usable, and
     /// how long it was idle. Unusable ones are closed.
     fn take_idle(&self, addr: SocketAddr) -> Option<(Link, Duration)> {
         let mut idle = self.idle.lock().unwrap();
-        let entries = idle.get_mut(&addr)?;
+        let entries = idle.by_addr.get_mut(&addr)?;
         while let Some(entry) = entries.pop() {
-            if entry.idle_since.elapsed() < entry.max_idle && !entry.link.sender.is_closed() {
+            if entry.is_usable() {
                 return Some((entry.link, entry.idle_since.elapsed()));
             }
         }
-        idle.remove(&addr);
+        idle.by_addr.remove(&addr);
         None
     }
 
@@ -139,10 +154,31 @@
             return;
         }
         let mut idle = self.idle.lock().unwrap();
-        let entries = idle.entry(link.addr).or_default();
+        let entries = idle.by_addr.entry(link.addr).or_default();
         if entries.len() < MAX_IDLE_PER_ADDRESS {
             entries.push(IdleConnection { link, idle_since: Instant::now(), max_idle });
         }
+        if !std::mem::replace(&mut idle.has_expiry_task, true) {
+            tokio::spawn(close_expired(Arc::downgrade(&self.idle)));
+        }
+    }
+}
+
+/// Closes connections that have been idle for too long until none is left: they count towards the
+/// number that a server accepts.
+async fn close_expired(idle: Weak<Mutex<IdleConnections>>) {
+    loop {
+        tokio::time::sleep(EXPIRY_INTERVAL).await;
+        let Some(idle) = idle.upgrade() else { return };
+        let mut idle = idle.lock().unwrap();
+        idle.by_addr.retain(|_, entries| {
+            entries.retain(IdleConnection::is_usable);
+            !entries.is_empty()
+        });
+        if idle.by_addr.is_empty() {
+            idle.has_expiry_task = false;
+            return;
+        }
     }
 }
 
