Streams: a refused probe does not end them

Cause: wait_until_unreachable took any failed probe for a server that is gone. A host that refuses a connection is up, and would have reset the stream's connection if the process had ended: it is full, or leaves. Related path: a request without an answer that may be repeated leaves a refusing server only if another one can take it.

--- a/crates/fakes/src/site_server.rs
+++ b/crates/fakes/src/site_server.rs
@@ -81,6 +81,8 @@
     LowConfidence,
     /// Takes several times as long between the events of a stream.
     Slow,
+    /// Sends nothing for a time after the first event of each run of a stream, and then goes on.
+    Pause(Duration),
 }
 
 /// The capacity of a server that is brittle: it crashes if it has to reject too many requests.
@@ -639,7 +641,12 @@
     let slow = fault == Some(SiteFault::Slow);
     let pause = if slow { EVENT_PAUSE * SLOW_FACTOR } else { EVENT_PAUSE };
     let paced = stream::iter(frames).enumerate().then(move |(index, frame)| async move {
-        tokio::time::sleep(if index == 0 { EVENT_PAUSE } else { pause }).await;
+        let pause = match (index, fault) {
+            (0, _) => EVENT_PAUSE,
+            (1, Some(SiteFault::Pause(time))) => time,
+            _ => pause,
+        };
+        tokio::time::sleep(pause).await;
         frame
     });
     let body = if stalls {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -315,7 +315,18 @@
             true => progress.helpers.push(target.addr),
             false => progress.tried.push(target.server.clone()),
         }
-        self.send(target, &options).await
+        self.send(progress, target, &options).await
+    }
+
+    /// Whether another server than the target could take the request now.
+    pub fn is_placeable_beside(&self, progress: &Progress, target: &Target) -> bool {
+        !target.is_helper && self.has_other_server(progress, &target.server)
+    }
+
+    /// Whether another server than this one is reachable and could take the request now.
+    pub fn has_other_server(&self, progress: &Progress, server: &Name) -> bool {
+        let best = self.best_server(progress);
+        best.is_some_and(|placement| placement.server != *server && !placement.unreachable)
     }
 
     /// The priority of the request; the client account's takes precedence over the route's.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -16,7 +16,7 @@
 
 use crate::arrival::Exchange;
 use crate::cold::ColdReason;
-use crate::exchange::Rejection;
+use crate::exchange::{Progress, Rejection};
 use crate::gateway::{Gateway, LostAnswer, Suspect};
 use crate::handover::{AnswerNote, is_refusal, read_refusal};
 use crate::metrics::Metrics;
@@ -337,6 +337,7 @@
     /// Sends the request to a server and reads the head of the response.
     pub async fn send(
         &self,
+        progress: &Progress,
         target: &mut Target,
         options: &SendOptions<'_>,
     ) -> (SendResult, InFlight<D>) {
@@ -362,12 +363,15 @@
         let permit = in_flight.permit.as_ref();
         let sending = self.send_over(lease, target, options, permit);
         let sending = tokio::time::timeout(options.timeout, sending);
-        let unreachable = async {
-            self.gateway.wait_until_unreachable(&target.server, target.addr).await;
-            if !options.may_abandon {
-                std::future::pending().await
-            }
+        let gives_up = |finding| {
+            options.may_abandon
+                && match finding {
+                    ProbeFinding::Refused => self.is_placeable_beside(progress, target),
+                    ProbeFinding::Dark => true,
+                }
         };
+        let unreachable =
+            self.gateway.wait_until_unreachable(&target.server, target.addr, gives_up);
         let result = tokio::select! {
             biased;
             result = sending => result.unwrap_or(SendResult::Lost("silent")),
@@ -555,31 +559,54 @@
 }
 
 impl<D: 'static> Gateway<D> {
-    /// Probes a silent server at growing intervals and returns once it can't be reached.
+    /// Probes a silent server at growing intervals and returns once it can't be reached and
+    /// `gives_up` says that this is reason enough.
     ///
     /// When a server loses power or its network link, nothing happens on its open
     /// connections, but new connections fail.
-    pub(crate) async fn wait_until_unreachable(self: &Rc<Self>, server: &Name, addr: SocketAddr) {
+    pub(crate) async fn wait_until_unreachable(
+        self: &Rc<Self>,
+        server: &Name,
+        addr: SocketAddr,
+        gives_up: impl Fn(ProbeFinding) -> bool,
+    ) {
         let silent_since = Instant::now();
         let mut interval = PROBE_AFTER_SILENCE;
         loop {
             tokio::time::sleep(interval).await;
-            interval = match self.pool.probe(addr).await {
-                Ok(()) => interval * 2,
-                Err(error) => {
-                    self.mark_unreachable(server);
-                    let may_go_on =
-                        error.kind() == ErrorKind::TimedOut && silent_since.elapsed() < MIN_SILENCE;
-                    if !may_go_on {
-                        return;
-                    }
-                    PROBE_AFTER_SILENCE / 2
+            let Err(error) = self.pool.probe(addr).await else {
+                interval *= 2;
+                continue;
+            };
+            self.mark_unreachable(server);
+            let finding = match error.kind() {
+                ErrorKind::TimedOut if silent_since.elapsed() < MIN_SILENCE => {
+                    interval = PROBE_AFTER_SILENCE / 2;
+                    continue;
                 }
+                ErrorKind::TimedOut
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable => ProbeFinding::Dark,
+                _ => ProbeFinding::Refused,
             };
+            if gives_up(finding) {
+                return;
+            }
+            interval *= 2;
         }
     }
 }
 
+/// What a probe of a silent server shows that can't be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProbeFinding {
+    /// The connection failed at once. The server may be full or leave, and go on with what it has:
+    /// had it ended, its open connections would have been reset.
+    Refused,
+    /// Nothing answers, for longer than a sound server needs.
+    Dark,
+}
+
 /// The server that a request is sent to, or the instance that it is handed to.
 #[derive(Debug)]
 pub(crate) struct Target {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 use crate::exchange::{AnswerRating, Progress};
 use crate::gateway::Gateway;
 use crate::metrics::Metrics;
-use crate::send::{InFlight, PendingResponse, SendResult, Target};
+use crate::send::{InFlight, PendingResponse, ProbeFinding, SendResult, Target};
 use crate::wire::Dialect;
 
 /// Maximum number of events buffered for a slow caller.
@@ -84,10 +84,12 @@
                 return Err(StreamEnd::Broken("closed"));
             };
             let next_chunk = tokio::time::timeout_at(until, response.chunk());
+            let server = &self.in_flight.server;
+            let is_dark = |finding| finding == ProbeFinding::Dark;
             let chunk = tokio::select! {
                 biased;
                 chunk = next_chunk => chunk,
-                () = self.gateway.wait_until_unreachable(&self.in_flight.server, self.addr) => {
+                () = self.gateway.wait_until_unreachable(server, self.addr, is_dark) => {
                     return Err(StreamEnd::Broken("dark"));
                 }
             };
