Streams and sends: silence ends them only if another server can take the request

Cause: silence was taken for the loss of a server whatever the route allows, and whether or not another one could go on. On the path of requests without an answer, a repeatable one left a slow server and was then answered 502. Silence moves a send only if another server with room accepts a connection and the budget allows it.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -31,7 +31,8 @@
 /// Number of sends allowed beyond the route's maximum number of attempts, to make up for
 /// sends that servers reject without running the request.
 const MAX_EXTRA_REJECTIONS: u32 = 2;
-/// A silent server is given up after this multiple of the route's target latency.
+/// A silent server is given up after this multiple of the route's target latency, if another one
+/// can take the request.
 const SILENCE_TIMEOUT_FACTOR: f64 = 2.5;
 /// The minimum time before a silent server is given up.
 const MIN_SILENCE_TIMEOUT: Duration = Duration::from_millis(600);
@@ -45,6 +46,8 @@
 /// Number of servers that can't be reached after which a request is handed to another
 /// instance, although further servers could be tried.
 const UNREACHABLE_TO_HAND_OVER: usize = 2;
+/// Number of servers that are probed for one to which a silent stream could move.
+const MAX_SERVERS_TO_REACH: u32 = 3;
 /// Number of servers for which a permit is requested for one send.
 const MAX_PERMIT_REQUESTS: u32 = 8;
 /// The time after which no further server is asked for a permit.
@@ -288,7 +291,7 @@
     /// Sends the request to a server.
     ///
     /// If the request could still be retried afterwards, this send is given up when the
-    /// server stays silent or becomes unreachable.
+    /// server stays silent and another one can take the request, or when it becomes unreachable.
     pub async fn send_next(
         &self,
         progress: &mut Progress,
@@ -299,14 +302,14 @@
         let remaining = self.deadline.saturating_sub(self.gateway.now());
         let silence_timeout =
             self.route.target_latency.mul_f64(SILENCE_TIMEOUT_FACTOR).max(MIN_SILENCE_TIMEOUT);
-        let timeout = if may_retry { silence_timeout.min(remaining) } else { remaining };
         let model = self.route.models.get(progress.model_index);
         let options = SendOptions {
             model: model.map(|model| &**model),
             priority: self.route.stream.then(|| self.priority().min(9)),
             resume_after: progress.resume_after,
             possible_runs: progress.possible_runs,
-            timeout,
+            timeout: remaining,
+            silence_timeout,
             may_abandon: may_retry,
         };
         progress.sends += 1;
@@ -318,15 +321,29 @@
         self.send(progress, target, &options).await
     }
 
-    /// Whether another server than the target could take the request now.
-    pub fn is_placeable_beside(&self, progress: &Progress, target: &Target) -> bool {
-        !target.is_helper && self.has_other_server(progress, &target.server)
+    /// Whether a connection can be established to another server than this one that could take the
+    /// request now.
+    pub async fn reaches_other_server(&self, progress: &Progress, server: &Name) -> bool {
+        let gateway = &self.gateway;
+        for _ in 0..MAX_SERVERS_TO_REACH {
+            let Some(server) = self.other_server(progress, server) else { return false };
+            let addr = gateway.fleet.borrow().get(&server).map(|server| server.info.addr);
+            let Some(addr) = addr else { return false };
+            if gateway.pool.probe(addr).await.is_ok() {
+                return true;
+            }
+            gateway.mark_unreachable(&server);
+        }
+        false
     }
 
-    /// Whether another server than this one is reachable and could take the request now.
-    pub fn has_other_server(&self, progress: &Progress, server: &Name) -> bool {
-        let best = self.best_server(progress);
-        best.is_some_and(|placement| placement.server != *server && !placement.unreachable)
+    /// Returns the best other server than this one that the request could be sent to next.
+    fn other_server(&self, progress: &Progress, server: &Name) -> Option<Name> {
+        if !self.may_send_again(progress) {
+            return None;
+        }
+        let best = self.best_server(progress)?;
+        (best.server != *server && !best.unreachable).then_some(best.server)
     }
 
     /// The priority of the request; the client account's takes precedence over the route's.
@@ -351,7 +368,7 @@
         self.yield_to_urgent(progress).await?;
         let gateway = &self.gateway;
         let now = gateway.now();
-        if progress.sends >= self.route.max_attempts + MAX_EXTRA_REJECTIONS {
+        if progress.sends >= self.max_sends() {
             return Err(Rejection::new(Kind::Overloaded, TRANSIENT_RETRY_AFTER));
         }
         let retry = progress.sends > 0;
@@ -424,6 +441,19 @@
         })
     }
 
+    /// The number of sends after which the request is rejected.
+    fn max_sends(&self) -> u32 {
+        self.route.max_attempts + MAX_EXTRA_REJECTIONS
+    }
+
+    /// Whether the number of sends and the retry budget allow a further send.
+    fn may_send_again(&self, progress: &Progress) -> bool {
+        let gateway = &self.gateway;
+        let mut budget = gateway.budget.borrow_mut();
+        progress.sends < self.max_sends()
+            && budget.remaining(&self.service, gateway.members(), gateway.now()) >= 1.0
+    }
+
     /// Rejects the request if it is blocked for crashing servers, or if the instance shuts down
     /// too soon for it.
     pub fn check_sendable(&self, progress: &Progress) -> Result<(), Rejection> {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -363,19 +363,28 @@
         let permit = in_flight.permit.as_ref();
         let sending = self.send_over(lease, target, options, permit);
         let sending = tokio::time::timeout(options.timeout, sending);
-        let gives_up = |finding| {
-            options.may_abandon
-                && match finding {
-                    ProbeFinding::Refused => self.is_placeable_beside(progress, target),
-                    ProbeFinding::Dark => true,
-                }
+        let may_move = options.may_abandon && !target.is_helper;
+        let gives_up = async |finding| match finding {
+            ProbeFinding::Refused => {
+                may_move && self.reaches_other_server(progress, &target.server).await
+            }
+            ProbeFinding::Dark => options.may_abandon,
         };
         let unreachable =
             self.gateway.wait_until_unreachable(&target.server, target.addr, gives_up);
+        let silent = async {
+            loop {
+                tokio::time::sleep(options.silence_timeout).await;
+                if may_move && self.reaches_other_server(progress, &target.server).await {
+                    return;
+                }
+            }
+        };
         let result = tokio::select! {
             biased;
             result = sending => result.unwrap_or(SendResult::Lost("silent")),
             () = unreachable => SendResult::Lost("dark"),
+            () = silent => SendResult::Lost("silent"),
         };
         if target.is_helper {
             self.record_help(target.addr, &result);
@@ -568,7 +577,7 @@
         self: &Rc<Self>,
         server: &Name,
         addr: SocketAddr,
-        gives_up: impl Fn(ProbeFinding) -> bool,
+        gives_up: impl AsyncFn(ProbeFinding) -> bool,
     ) {
         let silent_since = Instant::now();
         let mut interval = PROBE_AFTER_SILENCE;
@@ -589,7 +598,7 @@
                 | ErrorKind::NetworkUnreachable => ProbeFinding::Dark,
                 _ => ProbeFinding::Refused,
             };
-            if gives_up(finding) {
+            if gives_up(finding).await {
                 return;
             }
             interval *= 2;
@@ -636,6 +645,8 @@
     pub possible_runs: u32,
     /// How long to wait for the head of the response.
     pub timeout: Duration,
-    /// Whether to stop waiting if the server becomes unreachable.
+    /// How long to wait for it if another server can take the request.
+    pub silence_timeout: Duration,
+    /// Whether to stop waiting earlier if the server is silent or becomes unreachable.
     pub may_abandon: bool,
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -29,7 +29,7 @@
 /// gives no estimate.
 const USUAL_OUTPUT_SHARE: f64 = 0.25;
 /// Maximum time between two complete events, after which the stream is resumed at another
-/// server.
+/// server if it may be and one can take it.
 const MAX_EVENT_GAP: Duration = Duration::from_millis(2_500);
 
 /// The event stream of one send.
@@ -57,7 +57,7 @@
     Broken(&'static str),
 }
 
-impl<D: 'static> EventStream<D> {
+impl<D: Dialect> EventStream<D> {
     /// Whether an answer is a stream like this one, rather than an error.
     fn is_continued_by(&self, answer: &PendingResponse) -> bool {
         let content_type = answer.response.head.headers.get(header::CONTENT_TYPE);
@@ -73,7 +73,15 @@
     }
 
     /// Returns the next complete event, or how the stream ended.
-    async fn next(&mut self) -> Result<Event, StreamEnd> {
+    ///
+    /// A server may pause a request for long. Its silence ends the stream only if the request can
+    /// go on elsewhere; otherwise the connection shows whether the server is still there.
+    async fn next(
+        &mut self,
+        exchange: &Exchange<D>,
+        progress: &Progress,
+    ) -> Result<Event, StreamEnd> {
+        let may_resume = exchange.may_resume(progress);
         let mut until = Instant::now() + MAX_EVENT_GAP;
         loop {
             if let Some(Event { bytes, id }) = self.reader.next_event() {
@@ -85,11 +93,11 @@
             };
             let next_chunk = tokio::time::timeout_at(until, response.chunk());
             let server = &self.in_flight.server;
-            let is_dark = |finding| finding == ProbeFinding::Dark;
+            let gives_up = async |finding| may_resume && finding == ProbeFinding::Dark;
             let chunk = tokio::select! {
                 biased;
                 chunk = next_chunk => chunk,
-                () = self.gateway.wait_until_unreachable(server, self.addr, is_dark) => {
+                () = self.gateway.wait_until_unreachable(server, self.addr, gives_up) => {
                     return Err(StreamEnd::Broken("dark"));
                 }
             };
@@ -108,7 +116,10 @@
                 }
                 Ok(Ok(None)) => return Err(StreamEnd::Complete),
                 Ok(Err(_)) => return Err(StreamEnd::Broken("broken")),
-                Err(_) => return Err(StreamEnd::Broken("silent")),
+                Err(_) if may_resume && exchange.reaches_other_server(progress, server).await => {
+                    return Err(StreamEnd::Broken("silent"));
+                }
+                Err(_) => until = Instant::now() + MAX_EVENT_GAP,
             }
         }
     }
@@ -150,7 +161,7 @@
         }
         let headers = response.head.headers.clone();
         let mut stream = self.read_events(response, in_flight, first_byte, info.report);
-        let first = match stream.next().await {
+        let first = match stream.next(self, progress).await {
             Ok(event) => Some(event),
             Err(StreamEnd::Complete) => None,
             Err(StreamEnd::Broken(reason)) => {
@@ -361,7 +372,7 @@
             }
         }
         let waiting_since = Instant::now();
-        match stream.next().await {
+        match stream.next(exchange, progress).await {
             Ok(event) => {
                 stream.pace.record_pause(waiting_since.elapsed());
                 if stream.pace.is_due() {
