Bodies: one whose length is known takes memory for all of it

Cause: each body held what had arrived, so that the budget was used up by bodies none of which could be completed. One at a time went on, until its server had answered; at the deadline the wait was taken for a body that was cut. A body that had to wait for memory is refused with 503 at its deadline: it has not run. Buffered answers of known length take theirs in the same way.

--- a/crates/conn/src/lib.rs
+++ b/crates/conn/src/lib.rs
@@ -20,7 +20,7 @@
 use bytes::Bytes;
 use http::{StatusCode, header};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -342,11 +342,12 @@
     /// Reads the whole body; `None` if it is longer than `limit` bytes. Waits for memory.
     pub async fn collect(mut self, limit: usize) -> Result<Option<Bytes>, BodyError> {
         let mut body = Vec::new();
+        let length = body_length(&self.body, limit);
         while let Some(chunk) = self.chunk().await? {
             if body.len() + chunk.len() > limit {
                 return Ok(None);
             }
-            self.held.append(&mut body, &chunk).await;
+            self.held.append(&mut body, &chunk, length).await;
         }
         Ok(Some(self.held.keep_with(body.into())))
     }
@@ -359,6 +360,12 @@
     }
 }
 
+/// Returns the length of a body, if it is known and does not exceed `limit` bytes.
+pub fn body_length(body: &impl Body, limit: usize) -> Option<usize> {
+    let length = body.size_hint().exact()?;
+    usize::try_from(length).ok().filter(|length| *length <= limit)
+}
+
 /// Returns how long a connection may stay idle according to the server's
 /// `Keep-Alive` header.
 fn max_idle(headers: &http::HeaderMap) -> Duration {
--- a/crates/conn/src/memory.rs
+++ b/crates/conn/src/memory.rs
@@ -4,6 +4,9 @@
 //! of little go on. Of the others one at a time goes on, up to the limit of what it reads, and the
 //! rest wait without reading from their connections. So the budget is exceeded by what one holder
 //! and the small ones have, however many connections there are.
+//!
+//! A body whose length is known takes the bytes for all of it at once. If each held what has
+//! arrived so far, the budget could be used up by bodies none of which can be completed.
 
 use std::fmt;
 use std::sync::Arc;
@@ -87,10 +90,17 @@
         self.bytes += bytes;
     }
 
-    /// Appends data to a buffer and takes the bytes that it needs.
-    pub async fn append(&mut self, buffer: &mut Vec<u8>, data: &[u8]) {
-        self.grow(data.len()).await;
-        buffer.reserve_exact(data.len());
+    /// Appends data to the buffer of a body whose bytes this holds, and takes those that it needs.
+    ///
+    /// `length` is that of the whole body, if it is known. Its bytes are taken once a part of it
+    /// has arrived that is not small.
+    pub async fn append(&mut self, buffer: &mut Vec<u8>, data: &[u8], length: Option<usize>) {
+        let needed = buffer.len() + data.len();
+        let wanted = if needed > SMALL { needed.max(length.unwrap_or(0)) } else { needed };
+        if wanted > self.bytes {
+            self.grow(wanted - self.bytes).await;
+            buffer.reserve_exact(wanted - buffer.len());
+        }
         buffer.extend_from_slice(data);
     }
 
--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -1,13 +1,14 @@
 //! Validation of a request when it arrives.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use config::Name;
-use conn::Held;
+use conn::{Held, body_length};
 use dispatch::{Account, Catalog, MonotonicTime, Route};
 use error::{Kind, NotRunProof, Refusal};
 use http::request::Parts;
@@ -89,9 +90,12 @@
         return Err(refuse(Kind::Draining));
     }
     let held = gateway.pool.memory().hold();
-    let reading = read_body(body, catalog.limits.body_bytes, held);
-    let body = tokio::time::timeout(timeout, reading).await.unwrap_or(Err(Kind::BodyCut));
-    let body = body.map_err(refuse)?;
+    let has_waited = Cell::new(false);
+    let reading = read_body(body, catalog.limits.body_bytes, held, &has_waited);
+    let body = tokio::time::timeout(timeout, reading).await;
+    // Had it been read all the time, it might be complete.
+    let late = if has_waited.get() { Kind::QueueExpired } else { Kind::BodyCut };
+    let body = body.unwrap_or(Err(late)).map_err(refuse)?;
     if gateway.refuses_while_draining(deadline) {
         return Err(refuse(Kind::Draining));
     }
@@ -143,15 +147,29 @@
     target + head.headers.iter().map(line).sum::<usize>()
 }
 
-/// Reads the body of a caller; waits for memory.
-async fn read_body(body: Incoming, limit: usize, mut held: Held) -> Result<Bytes, Kind> {
+/// Reads the body of a caller; waits for memory, and sets `has_waited` when it does.
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    mut held: Held,
+    has_waited: &Cell<bool>,
+) -> Result<Bytes, Kind> {
+    let length = body_length(&body, limit);
     let mut limited = Limited::new(body, limit);
     let mut bytes = Vec::new();
     while let Some(frame) = limited.frame().await {
         match frame {
             Ok(frame) => {
                 if let Ok(data) = frame.into_data() {
-                    held.append(&mut bytes, &data).await;
+                    let mut appending = pin!(held.append(&mut bytes, &data, length));
+                    tokio::select! {
+                        biased;
+                        () = &mut appending => {}
+                        () = std::future::ready(()) => {
+                            has_waited.set(true);
+                            appending.await;
+                        }
+                    }
                 }
             }
             Err(error) if error.is::<http_body_util::LengthLimitError>() => {
