--- a/crates/fakes/src/truncating_server.rs
+++ b/crates/fakes/src/truncating_server.rs
@@ -34,6 +34,10 @@
     pub closing: Closing,
     /// Whether the first request on each connection is answered in full.
     pub kept: bool,
+    /// Whether it answers as soon as the head of a request has come, and reads nothing more.
+    pub early: bool,
+    /// The time between the last byte and the end of the connection.
+    pub delay: Duration,
 }
 
 /// A running server; clones share its state.
@@ -71,8 +75,9 @@
         stream.set_nodelay(true)?;
         let mut is_first = true;
         loop {
-            let id = read_request(&mut stream).await?;
-            let TruncatedResponse { response, length, closing, kept } =
+            let is_early = self.response.lock().unwrap().early;
+            let id = read_request(&mut stream, is_early).await?;
+            let TruncatedResponse { response, length, closing, kept, delay, .. } =
                 self.response.lock().unwrap().clone();
             if kept && std::mem::take(&mut is_first) {
                 stream.write_all(first_response(&id).as_bytes()).await?;
@@ -81,9 +86,9 @@
             let response = response.replace("{id}", &id);
             let sent = &response.as_bytes()[..length.min(response.len())];
             stream.write_all(sent).await?;
+            // A reset may discard what the other side has not read yet.
+            tokio::time::sleep(delay).await;
             if closing == Closing::Reset {
-                // A reset discards what the other side has not read yet.
-                tokio::time::sleep(Duration::from_millis(3)).await;
                 socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
             }
             return Ok(());
@@ -98,9 +103,9 @@
     )
 }
 
-/// Reads a request with a `content-length`, if it has a body, and returns its id; an error if the
-/// connection closes before.
-async fn read_request(stream: &mut TcpStream) -> std::io::Result<String> {
+/// Reads a request with a `content-length`, if it has a body, or its head only, and returns its id;
+/// an error if the connection closes before.
+async fn read_request(stream: &mut TcpStream, head_only: bool) -> std::io::Result<String> {
     let mut request = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&request).into_owned();
@@ -110,7 +115,7 @@
                 Some(line[name.len()..].trim().to_owned())
             };
             let length = value("content-length:").and_then(|length| length.parse().ok());
-            if body.len() >= length.unwrap_or(0) {
+            if head_only || body.len() >= length.unwrap_or(0) {
                 return Ok(value("x-attempt-id:").unwrap_or_default());
             }
         }
