Placement: a request that returns to a tried server avoids the last one

Cause: with all servers tried, a repeatable request may return to any, and the placement chose the one that it was to leave; since silence ends a stream only if another server can take it, this counted as none.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -581,13 +581,22 @@
                 return Ok(placement);
             }
         }
+        let is_none_left = |placement: &Result<Placement, PlacementError>| {
+            matches!(placement, Err(PlacementError::AllTried | PlacementError::Full(_)))
+        };
         let mut placement = place(&fleet, &wanted, random, now);
-        let none_left =
-            matches!(placement, Err(PlacementError::AllTried | PlacementError::Full(_)));
-        if none_left && self.route.repeatable() {
-            // A repeatable request may return to a server that it was already sent to.
-            wanted.tried = &progress.unreachable;
-            placement = place(&fleet, &wanted, random, now);
+        if is_none_left(&placement)
+            && self.route.repeatable()
+            && let Some(last) = progress.tried.last()
+        {
+            // A repeatable request may return to a server that it was already sent to, and to the
+            // last one only if there is no other.
+            let avoided = [&progress.unreachable[..], std::slice::from_ref(last)].concat();
+            placement = place(&fleet, &PlacementRequest { tried: &avoided, ..wanted }, random, now);
+            if is_none_left(&placement) {
+                wanted.tried = &progress.unreachable;
+                placement = place(&fleet, &wanted, random, now);
+            }
         }
         placement
     }
