--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -46,7 +46,7 @@
 /// Number of servers that can't be reached after which a request is handed to another
 /// instance, although further servers could be tried.
 const UNREACHABLE_TO_HAND_OVER: usize = 2;
-/// Number of servers that are probed for one to which a silent stream could move.
+/// Number of servers that are probed for one to which a request of a silent server could move.
 const MAX_SERVERS_TO_REACH: u32 = 3;
 /// Number of servers for which a permit is requested for one send.
 const MAX_PERMIT_REQUESTS: u32 = 8;
