--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -148,3 +148,28 @@
         bytes = &rest[size + 2..];
     }
 }
+
+/// A client's connection, which is opened when it is needed.
+#[derive(Default)]
+pub struct Connection(Option<(TcpStream, Vec<u8>)>);
+
+impl Connection {
+    /// Sends a request and reads the head and the body of its answer.
+    pub async fn send(&mut self, addr: SocketAddr, request: &str) -> Result<(Head, Vec<u8>)> {
+        let (mut stream, mut buffer) = match self.0.take() {
+            Some(open) => open,
+            None => {
+                let stream = TcpStream::connect(addr).await?;
+                stream.set_nodelay(true)?;
+                (stream, Vec::new())
+            }
+        };
+        stream.write_all(request.as_bytes()).await?;
+        let head = read_head(&mut stream, &mut buffer).await?.context("closed without an answer")?;
+        let body = read_body(&mut stream, &mut buffer, &head).await?;
+        if head.get("connection") != Some("close") {
+            self.0 = Some((stream, buffer));
+        }
+        Ok((head, body))
+    }
+}
--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![recursion_limit = "256"]
 
+pub mod backend;
 pub mod http;
 pub mod node;
 pub mod record;
--- a/review/standins-3/src/node.rs
+++ b/review/standins-3/src/node.rs
@@ -23,15 +23,35 @@
 impl Node {
     /// Starts the program with settings like those of a small deployment.
     pub fn start(name: &str, store: SocketAddr) -> Result<Self> {
+        let control = SocketAddr::new(loopback(), free_port());
+        Node::start_among(name, store, control, &[control])
+    }
+
+    /// Starts several instances that know each other.
+    pub fn start_all(names: &[&str], store: SocketAddr) -> Result<Vec<Self>> {
+        let seeds: Vec<_> =
+            names.iter().map(|_| SocketAddr::new(loopback(), free_port())).collect();
+        let start = |(name, control): (&&str, &SocketAddr)| {
+            Node::start_among(name, store, *control, &seeds)
+        };
+        names.iter().zip(&seeds).map(start).collect()
+    }
+
+    fn start_among(
+        name: &str,
+        store: SocketAddr,
+        control: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> Result<Self> {
         let at = |port| SocketAddr::new(loopback(), port);
-        let (frontend, readiness, control) = (at(free_port()), at(free_port()), at(free_port()));
+        let (frontend, readiness) = (at(free_port()), at(free_port()));
         let internal = free_port();
         let settings = json!({
             "node_name": name, "role": "entry", "machine_class": "edge",
             "serves": ["edge", "control"], "ip": loopback(), "zone": "serra-a",
             "region": "sul-serra", "zones": { "serra-a": "sul-serra" },
             "listen": { "frontend": frontend, "readiness": readiness, "control_plane": control },
-            "internal_ports": [internal, internal], "seed_nodes": [control],
+            "internal_ports": [internal, internal], "seed_nodes": seeds,
             "first_start": true, "fault_counted": false,
             "limits": { "cpu_share": 0.25, "cpu_cores": 1, "memory_mb": 260, "max_fds": 4100,
                 "link_mbps": 1000.0, "disk_mb": 0 },
