--- a/review/standins-3/src/backend.rs
+++ b/review/standins-3/src/backend.rs
@@ -28,16 +28,18 @@
 pub struct Work {
     /// How long a request runs.
     pub time: Duration,
+    /// A path whose requests take another time.
+    pub same_path: Option<(&'static str, Duration)>,
     /// How many requests began to run.
     pub runs: Arc<AtomicU64>,
     /// The servers and ids of the requests that run.
-    running: Arc<Mutex<Vec<(String, String)>>>,
+    pub running: Arc<Mutex<Vec<(String, String)>>>,
 }
 
 impl Work {
     /// Creates an answer that takes this time.
     pub fn new(time: Duration) -> Self {
-        Work { time, runs: Arc::default(), running: Arc::default() }
+        Work { time, same_path: None, runs: Arc::default(), running: Arc::default() }
     }
 
     /// Returns the ids of the requests that run on a server.
@@ -52,7 +54,8 @@
         self.runs.fetch_add(1, Ordering::Relaxed);
         let run = (server.to_owned(), head.get("x-attempt-id").unwrap_or_default().to_owned());
         self.running.lock().unwrap().push(run.clone());
-        tokio::time::sleep(self.time).await;
+        let special = self.same_path.filter(|(path, _)| *path == head.word(1));
+        tokio::time::sleep(special.map_or(self.time, |(_, time)| time)).await;
         self.running.lock().unwrap().retain(|other| *other != run);
         (200, String::new(), format!("answer of {server}"))
     }
--- a/review/standins-3/src/bin/early_answer.rs
+++ b/review/standins-3/src/bin/early_answer.rs
@@ -168,12 +168,16 @@
     for number in 1..=SERVERS {
         start_server(&store, format!("llm-{number}"), record.clone()).await?;
     }
-    let node = Node::start("node-1", store_addr)?;
-    node.wait_ready().await?;
-    record.line("the instance is ready");
+    // One of two instances gets the signal, and serves the streams.
+    let nodes = Node::start_all(&["node-1", "node-2"], store_addr)?;
+    for node in &nodes {
+        node.wait_ready().await?;
+    }
+    let node = &nodes[0];
+    record.line("two instances are ready");
     tokio::time::sleep(Duration::from_secs(4)).await;
     node.signal("HUP")?;
-    record.line("instance: SIGHUP");
+    record.line("node-1: SIGHUP");
     tokio::time::sleep(AFTER_SIGNAL).await;
     let mut clients = Vec::new();
     for number in 1..=STREAMS {
--- a/review/standins-3/src/bin/lost_servers.rs
+++ b/review/standins-3/src/bin/lost_servers.rs
@@ -1,4 +1,5 @@
-//! A quarter of the servers of a service crash at once while they run the same request.
+//! A quarter of the servers of a service crash at once while they run the same request for many
+//! clients of one tenant.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,23 +19,25 @@
 /// Servers of the service for lookups, and how many of them crash: a quarter.
 const SERVERS: usize = 12;
 const CRASHED: usize = 3;
-/// How long a lookup and a booking run.
-const LOOKUP_TIME: Duration = Duration::from_millis(250);
-const BOOKING_TIME: Duration = Duration::from_millis(60);
-/// Clients of each instance, and how often each of them asks.
-const LOOKUP_CLIENTS: usize = 54;
-const LOOKUP_PERIOD: Duration = Duration::from_millis(300);
-const BOOKING_CLIENTS: usize = 8;
-const BOOKING_PERIOD: Duration = Duration::from_millis(50);
+/// How long the lookup runs that all clients of one tenant send, and any other.
+const SAME_TIME: Duration = Duration::from_millis(250);
+const OTHER_TIME: Duration = Duration::from_millis(15);
+/// Clients of each instance, and how often each of them asks: those of one tenant ask the same,
+/// 28 in 100 of the lookups; those of the other ask for something else each time.
+const SAME_CLIENTS: usize = 54;
+const OTHER_CLIENTS: usize = 141;
+const PERIOD: Duration = Duration::from_millis(300);
 /// When the servers crash, and for how long they are down.
-const CRASH_AT: Duration = Duration::from_secs(6);
+const CRASH_AT: Duration = Duration::from_secs(3);
 const DOWN_TIME: Duration = Duration::from_secs(2);
 /// When the day ends.
-const LENGTH: Duration = Duration::from_secs(60);
+const LENGTH: Duration = Duration::from_secs(30);
+/// The keys of the two tenants.
+const KEYS: [&str; 2] = ["n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"];
 /// Seconds of one line of the record.
 const INTERVAL: u64 = 5;
 
-/// How the requests of one kind ended, by interval: sent, served and the other statuses.
+/// How the requests of one tenant ended, by interval: sent, served and the other statuses.
 #[derive(Default)]
 struct Tally {
     intervals: BTreeMap<u64, (u64, u64, BTreeMap<u16, u64>)>,
@@ -60,29 +63,28 @@
 struct Day {
     start: Instant,
     ids: AtomicU64,
-    lookups: Mutex<Tally>,
-    bookings: Mutex<Tally>,
+    same: Mutex<Tally>,
+    others: Mutex<Tally>,
 }
 
 impl Day {
     /// Sends the requests of one client, each at its time, until the day ends.
-    async fn client(self: Arc<Self>, node: usize, addr: SocketAddr, is_lookup: bool, offset: Duration) {
-        let period = if is_lookup { LOOKUP_PERIOD } else { BOOKING_PERIOD };
+    async fn client(self: Arc<Self>, node: usize, addr: SocketAddr, is_same: bool, offset: Duration) {
         let mut connection = Connection::default();
         let mut next = self.start + offset;
         while next < self.start + LENGTH {
             tokio::time::sleep_until(next.into()).await;
             let sent = self.start.elapsed();
-            let mut status = self.attempt(&mut connection, node, addr, is_lookup).await;
-            // As on the sheets, a client repeats once: a lookup after any failure, a booking only
-            // if it has not run.
-            if status != 200 && (is_lookup || matches!(status, 429 | 503)) {
+            let id = self.ids.fetch_add(1, Ordering::Relaxed);
+            let mut status = self.attempt(&mut connection, node, addr, is_same, id).await;
+            // As on the sheets, a client repeats once, after any failure.
+            if status != 200 {
                 connection = Connection::default();
-                status = self.attempt(&mut connection, node, addr, is_lookup).await;
+                status = self.attempt(&mut connection, node, addr, is_same, id).await;
             }
-            let tally = if is_lookup { &self.lookups } else { &self.bookings };
+            let tally = if is_same { &self.same } else { &self.others };
             tally.lock().unwrap().count(sent, status);
-            next = (next + period).max(Instant::now());
+            next = (next + PERIOD).max(Instant::now());
         }
     }
 
@@ -92,23 +94,18 @@
         connection: &mut Connection,
         node: usize,
         addr: SocketAddr,
-        is_lookup: bool,
+        is_same: bool,
+        subject: u64,
     ) -> u16 {
         let id = self.ids.fetch_add(1, Ordering::Relaxed);
-        let request = if is_lookup {
-            format!(
-                "GET /slots/free HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: {node}{id:015x}\r\n\
-                 X-Deadline-Ms: 4000\r\n\r\n"
-            )
-        } else {
-            let body = format!("visit {id}");
-            format!(
-                "POST /book/2f HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: {node}{id:015x}\r\n\
-                 X-Deadline-Ms: 4000\r\nX-Credential: n2ctnfzs989anu6wsjnb\r\n\
-                 Content-Length: {}\r\n\r\n{body}",
-                body.len()
-            )
+        let (path, key) = match is_same {
+            true => ("/slots/free".to_owned(), KEYS[0]),
+            false => (format!("/slots/{subject}"), KEYS[1]),
         };
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nHost: ficu95.example\r\nX-Attempt-Id: {node}{id:015x}\r\n\
+             X-Deadline-Ms: 4000\r\nX-Credential: {key}\r\n\r\n"
+        );
         let answer = connection.send(addr, &request);
         match tokio::time::timeout(Duration::from_secs(4), answer).await {
             Ok(Ok((head, _))) => head.status(),
@@ -145,26 +142,19 @@
         "op",
         "config",
         &json!({ "version": 7,
-            "routes": [route("/slots/", "idempotent", "plan", 3, true),
-                route("/book/", "non_idempotent", "desk", 1, false)],
-            "services": [
-                { "name": "plan", "health_path": "/healthz", "max_connections": 110 },
-                { "name": "desk", "health_path": "/healthz", "max_connections": 110 }],
+            "routes": [route("/slots/", "idempotent", "plan", 3, false)],
+            "services": [{ "name": "plan", "health_path": "/healthz", "max_connections": 370 }],
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 4194304,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
-            "tenants": [{ "name": "hule930", "api_keys": ["n2ctnfzs989anu6wsjnb"], "priority": 1 }] }),
+            "tenants": [{ "name": "hule930", "api_keys": [KEYS[0]], "priority": 1 },
+                { "name": "meda271", "api_keys": [KEYS[1]], "priority": 1 }] }),
     );
-    let work = Work::new(LOOKUP_TIME);
+    let work = Work { same_path: Some(("/slots/free", SAME_TIME)), ..Work::new(OTHER_TIME) };
     let mut plan = Vec::new();
     for number in 1..=SERVERS {
         let id = format!("plan-{number}");
         plan.push(Backend::start(&store, &id, "plan", 10, work.clone()).await?);
     }
-    let mut desk = Vec::new();
-    for number in 1..=4 {
-        let id = format!("desk-{number}");
-        desk.push(Backend::start(&store, &id, "desk", 6, Work::new(BOOKING_TIME)).await?);
-    }
     let nodes = Node::start_all(&["node-1", "node-2"], store_addr)?;
     for node in &nodes {
         node.wait_ready().await?;
@@ -173,17 +163,15 @@
     let day = Arc::new(Day {
         start: Instant::now(),
         ids: AtomicU64::new(1),
-        lookups: Mutex::default(),
-        bookings: Mutex::default(),
+        same: Mutex::default(),
+        others: Mutex::default(),
     });
     let mut clients = Vec::new();
     for (index, node) in nodes.iter().enumerate() {
-        for (count, period, is_lookup) in
-            [(LOOKUP_CLIENTS, LOOKUP_PERIOD, true), (BOOKING_CLIENTS, BOOKING_PERIOD, false)]
-        {
+        for (count, is_same) in [(SAME_CLIENTS, true), (OTHER_CLIENTS, false)] {
             for number in 0..count {
-                let offset = period * number as u32 / count as u32;
-                let client = day.clone().client(index + 1, node.frontend, is_lookup, offset);
+                let offset = PERIOD * number as u32 / count as u32;
+                let client = day.clone().client(index + 1, node.frontend, is_same, offset);
                 clients.push(tokio::spawn(client));
             }
         }
@@ -212,8 +200,8 @@
     for client in clients {
         client.await?;
     }
-    let (lookups, bookings) = (day.lookups.lock().unwrap(), day.bookings.lock().unwrap());
-    for (name, tally) in [("lookups", &lookups), ("bookings", &bookings)] {
+    let (same, others) = (day.same.lock().unwrap(), day.others.lock().unwrap());
+    for (name, tally) in [("tenant hule930 (the same lookup)", &same), ("tenant meda271 (others)", &others)] {
         for (interval, (sent, served, others)) in &tally.intervals {
             let (from, to) = (interval * INTERVAL, (interval + 1) * INTERVAL);
             record.line(format!("{name} {from} to {to} s: {sent} sent, {served} served, other statuses {others:?}"));
@@ -224,12 +212,13 @@
             record.line(format!("log: {line}"));
         }
     }
-    let (sent, served) = lookups.sum();
-    let (booked_sent, booked) = bookings.sum();
+    let (sent, served) = same.sum();
+    let (others_sent, others_served) = others.sum();
     let share = served as f64 / sent as f64;
-    let all = (served + booked) as f64 / (sent + booked_sent) as f64;
-    record.line(format!("servers began to run {} lookups", work.runs.load(Ordering::Relaxed)));
-    record.line(format!("served: {share:.3} of the lookups, {all:.3} of all requests"));
+    let all = (served + others_served) as f64 / (sent + others_sent) as f64;
+    let hot = sent as f64 / (sent + others_sent) as f64;
+    record.line(format!("{hot:.3} of the lookups are the same one"));
+    record.line(format!("served: {share:.3} of those of hule930, {all:.3} of all requests"));
     let held = share >= all / 4.0;
     record.line(format!("Starved {}", if held { "held" } else { "is broken" }));
     Ok(held)
